--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,390 @@
+//! HTTP for users, workers and health checks.
+
+use crate::clock::time_of_day;
+use crate::controller::core::{Answer, View};
+use crate::controller::{Arrived, Question};
+use crate::ids::{JobId, Stamp};
+use crate::jobs::{EndedRec, JobDesc, JobRec, Refusal, Standing};
+use crate::settings::Settings;
+use crate::store::{self, Reply, Request as Ask, cond, keys};
+use crate::workers::Report;
+use salvo::conn::{Listener, TcpListener};
+use salvo::http::StatusCode;
+use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use salvo::prelude::{Request, Response, Router, Server, Service, handler};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// A request body may be at most this long.
+const MOST_BODY: usize = 64 * 1024;
+/// Times that a write is tried again after someone else's change.
+const TRIES: usize = 4;
+
+#[derive(Clone)]
+struct Api {
+    settings: Arc<Settings>,
+    view: watch::Receiver<Arc<View>>,
+    questions: mpsc::Sender<Question>,
+    reports: mpsc::Sender<Arrived>,
+}
+
+/// What a user is told.
+#[derive(Debug, PartialEq)]
+enum Told {
+    Job {
+        status: u16,
+        id: JobId,
+        standing: Standing,
+        counts: Option<(u32, u32)>,
+    },
+    No(u16, String),
+    /// Can't be decided or taken now: come back.
+    Later(&'static str),
+}
+
+impl Told {
+    fn render(self, res: &mut Response) {
+        let (status, body) = match self {
+            Told::Job {
+                status,
+                id,
+                standing,
+                counts,
+            } => {
+                let mut body = json!({"id": id, "standing": standing});
+                if let Some((done, running)) = counts {
+                    body["done"] = done.into();
+                    body["running"] = running.into();
+                }
+                (status, body)
+            }
+            Told::No(status, why) => (status, json!({"error": why})),
+            Told::Later(why) => {
+                res.headers_mut()
+                    .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+                (503, json!({"error": why}))
+            }
+        };
+        send(res, status, &body);
+    }
+}
+
+fn send(res: &mut Response, status: u16, body: &Value) {
+    res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let _ = res.write_body(body.to_string());
+}
+
+const NO_STORE: Told = Told::Later("the state service can't be reached");
+
+/// How a job stands, as the store has it now.
+enum Found {
+    Live(Stamp, Box<JobRec>),
+    Ended(EndedRec),
+    Nothing,
+    Unreadable,
+}
+
+impl Api {
+    async fn ask(&self, request: Ask) -> Reply {
+        let (answer, got) = oneshot::channel();
+        // A full queue refuses at once: the user is told when to come back.
+        if self
+            .questions
+            .try_send(Question { request, answer })
+            .is_err()
+        {
+            return Reply::Refused;
+        }
+        match tokio::time::timeout(Duration::from_millis(1_600), got).await {
+            Ok(Ok(reply)) => reply,
+            _ => Reply::Unknown,
+        }
+    }
+
+    /// Reads the store: a view that lags might give an older answer than one
+    /// that some node has given before.
+    async fn find(&self, id: &JobId) -> Found {
+        match self.ask(Ask::Get { key: keys::job(id) }).await {
+            Reply::Found(row) => match serde_json::from_value(row.value) {
+                Ok(rec) => return Found::Live(row.stamp, Box::new(rec)),
+                Err(_) => return Found::Unreadable,
+            },
+            Reply::Missing => {}
+            _ => return Found::Unreadable,
+        }
+        // Jobs only ever move from live to ended, in one write: read in this
+        // order, none is missed.
+        match self
+            .ask(Ask::Get {
+                key: keys::ended(id),
+            })
+            .await
+        {
+            Reply::Found(row) => {
+                serde_json::from_value(row.value).map_or(Found::Unreadable, Found::Ended)
+            }
+            Reply::Missing => Found::Nothing,
+            _ => Found::Unreadable,
+        }
+    }
+
+    async fn submit(&self, body: &[u8]) -> Told {
+        let job = match JobDesc::parse(body) {
+            Ok(job) => job,
+            Err(refusal) => return refused(refusal),
+        };
+        for _ in 0..TRIES {
+            let view = self.view.borrow().clone();
+            let Some(types) = &view.types else {
+                return Told::Later("machine types are not known yet");
+            };
+            let Some(team) = self.settings.team(&job.team) else {
+                return refused(Refusal::NeverRuns(format!("unknown team {}", job.team)));
+            };
+            if let Err(refusal) = job.admissible(&self.settings, types) {
+                // It may have been accepted before, when types were others.
+                return match self.find(&job.id).await {
+                    Found::Nothing => refused(refusal),
+                    found => known(found, &job.id),
+                };
+            }
+            let (block, grant, born) = view.teams[team];
+            let rec = JobRec {
+                desc: job.clone(),
+                at: time_of_day(),
+                born,
+                owner: None,
+                done: vec![],
+                done_count: 0,
+                running: 0,
+            };
+            let conds = vec![
+                cond(keys::job(&job.id), Stamp(0)),
+                cond(keys::ended(&job.id), Stamp(0)),
+                // Under this grant: a later holder knows whether an earlier one can
+                // have started it.
+                cond(keys::holder(block), grant),
+            ];
+            let ops = vec![store::set(keys::job(&job.id), &rec)];
+            match self.ask(Ask::Txn { conds, ops }).await {
+                Reply::Committed(_) => {
+                    return Told::Job {
+                        status: 201,
+                        id: job.id,
+                        standing: Standing::Pending,
+                        counts: None,
+                    };
+                }
+                Reply::Conflict(failed) if failed.iter().any(|k| *k != keys::holder(block)) => {
+                    match self.find(&job.id).await {
+                        // It ended and was read in between; look once more.
+                        Found::Nothing => {}
+                        found => return known(found, &job.id),
+                    }
+                }
+                // The block changed hands; the news of it is on its way here.
+                Reply::Conflict(_) => tokio::time::sleep(Duration::from_millis(150)).await,
+                _ => return NO_STORE,
+            }
+        }
+        Told::Later("the team's block is changing hands")
+    }
+
+    async fn status(&self, id: &str) -> Told {
+        let id = JobId::from(id);
+        if !id.well_formed() {
+            return Told::No(404, "no such job".into());
+        }
+        match self.find(&id).await {
+            Found::Nothing => Told::No(404, "no such job".into()),
+            Found::Unreadable => NO_STORE,
+            found => known(found, &id),
+        }
+    }
+
+    async fn abort(&self, id: &str) -> Told {
+        let id = JobId::from(id);
+        if !id.well_formed() {
+            return Told::No(404, "no such job".into());
+        }
+        for _ in 0..TRIES {
+            let (stamp, rec) = match self.find(&id).await {
+                Found::Live(stamp, rec) => (stamp, rec),
+                Found::Nothing => return Told::No(404, "no such job".into()),
+                Found::Unreadable => return NO_STORE,
+                found => return known(found, &id),
+            };
+            let ended = EndedRec {
+                standing: Standing::Cancelled,
+                tasks: rec.desc.tasks,
+            };
+            let conds = vec![
+                cond(keys::job(&id), stamp),
+                cond(keys::ended(&id), Stamp(0)),
+            ];
+            let ops = vec![
+                store::delete(keys::job(&id)),
+                store::set(keys::ended(&id), &ended),
+            ];
+            match self.ask(Ask::Txn { conds, ops }).await {
+                Reply::Committed(_) => {
+                    return Told::Job {
+                        status: 200,
+                        id,
+                        standing: Standing::Cancelled,
+                        counts: None,
+                    };
+                }
+                // Its owner wrote in between.
+                Reply::Conflict(_) => {}
+                _ => return NO_STORE,
+            }
+        }
+        Told::Later("the job changes too often just now")
+    }
+
+    async fn report(&self, body: &[u8]) -> (u16, Value) {
+        let Ok(report) = serde_json::from_slice::<Report>(body) else {
+            return (400, json!({"error": "malformed report"}));
+        };
+        let (answer, got) = oneshot::channel();
+        if self.reports.try_send(Arrived { report, answer }).is_err() {
+            return (503, json!({"error": "busy"}));
+        }
+        match tokio::time::timeout(Duration::from_millis(3_000), got).await {
+            Ok(Ok(Answer::Orders(orders))) => (200, json!(orders)),
+            Ok(Ok(Answer::Elsewhere(label))) => (421, json!({"answerTo": label})),
+            _ => (503, json!({"error": "not entitled to answer"})),
+        }
+    }
+}
+
+fn refused(refusal: Refusal) -> Told {
+    match refusal {
+        Refusal::Malformed(why) => Told::No(400, why),
+        Refusal::NeverRuns(why) => Told::No(422, why),
+    }
+}
+
+/// The answer about a job that the store has.
+fn known(found: Found, id: &JobId) -> Told {
+    match found {
+        Found::Live(_, rec) => Told::Job {
+            status: 200,
+            id: id.clone(),
+            standing: rec.standing(),
+            counts: Some((rec.done_count, rec.running)),
+        },
+        Found::Ended(e) => {
+            let done = if e.standing == Standing::Done {
+                e.tasks
+            } else {
+                0
+            };
+            Told::Job {
+                status: 200,
+                id: id.clone(),
+                standing: e.standing,
+                counts: Some((done, 0)),
+            }
+        }
+        Found::Nothing | Found::Unreadable => NO_STORE,
+    }
+}
+
+struct Submit(Api);
+struct Status(Api);
+struct Abort(Api);
+struct CheckIn(Api);
+struct Up(Api);
+
+async fn body(req: &mut Request) -> Option<Vec<u8>> {
+    req.payload_with_max_size(MOST_BODY)
+        .await
+        .ok()
+        .map(|b| b.to_vec())
+}
+
+#[handler]
+impl Submit {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        match body(req).await {
+            Some(b) => self.0.submit(&b).await.render(res),
+            None => Told::No(400, "the body is over 64 KiB or broken off".into()).render(res),
+        }
+    }
+}
+
+#[handler]
+impl Status {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let id = req.param::<String>("id").unwrap_or_default();
+        self.0.status(&id).await.render(res);
+    }
+}
+
+#[handler]
+impl Abort {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let id = req.param::<String>("id").unwrap_or_default();
+        self.0.abort(&id).await.render(res);
+    }
+}
+
+#[handler]
+impl CheckIn {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let (status, answer) = match body(req).await {
+            Some(b) => self.0.report(&b).await,
+            None => (
+                400,
+                json!({"error": "the body is over 64 KiB or broken off"}),
+            ),
+        };
+        send(res, status, &answer);
+    }
+}
+
+#[handler]
+impl Up {
+    async fn handle(&self, res: &mut Response) {
+        let healthy = self.0.view.borrow().healthy;
+        send(
+            res,
+            if healthy { 200 } else { 503 },
+            &json!({"up": healthy}),
+        );
+    }
+}
+
+/// Starts to listen and serves in the background.
+pub async fn serve(
+    settings: Arc<Settings>,
+    view: watch::Receiver<Arc<View>>,
+    questions: mpsc::Sender<Question>,
+    reports: mpsc::Sender<Arrived>,
+) -> Result<(), String> {
+    let bind = settings.bind;
+    let api = Api {
+        settings,
+        view,
+        questions,
+        reports,
+    };
+    let router = Router::new()
+        .push(Router::with_path("v1/jobs").post(Submit(api.clone())))
+        .push(Router::with_path("v1/jobs/{id}").get(Status(api.clone())))
+        .push(Router::with_path("v1/jobs/{id}/abort").post(Abort(api.clone())))
+        .push(Router::with_path("checkin").post(CheckIn(api.clone())))
+        .push(Router::with_path("up").get(Up(api)));
+    let acceptor = TcpListener::new(bind)
+        .try_bind()
+        .await
+        .map_err(|e| e.to_string())?;
+    tokio::spawn(Server::new(acceptor).serve(Service::new(router)));
+    Ok(())
+}
--- /dev/null
+++ b/src/blocks/mod.rs
@@ -0,0 +1,78 @@
+//! Blocks of machines: who leads, who holds which block, under which term.
+
+pub mod holder;
+pub mod leader;
+pub mod member;
+
+use crate::ids::{BlockId, Label, MachineId, Stamp, Tenure, Term};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The last term given out; every grant takes the next.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct TermRec {
+    pub last: Term,
+}
+
+/// A controller that takes part, attached to its own lease. The key is written
+/// once per incarnation, so its stamp names the incarnation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberRec {
+    pub addr: String,
+    pub tenure: Tenure,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRec {
+    pub holder: Label,
+}
+
+/// Who holds a block. Valid while that incarnation's member lease lives.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HolderRec {
+    pub holder: Label,
+    /// Stamp 0: handed back, nobody holds it.
+    pub incarnation: Stamp,
+    pub term: Term,
+    pub teams: Vec<String>,
+}
+
+/// What a holder wants done with a machine that it gave up, idle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Freed {
+    Move,
+    Return,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRec {
+    #[serde(rename = "a")]
+    pub addr: String,
+    #[serde(rename = "b")]
+    pub build: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// The machine's own term; the block's counts if that is higher.
+    #[serde(rename = "t")]
+    pub term: Term,
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub freed: Option<Freed>,
+}
+
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MachinesRec(pub BTreeMap<MachineId, MachineRec>);
+
+/// A rental that was decided, recorded before the cloud is asked: a successor
+/// repeats it under the same name instead of renting again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HireRec {
+    pub build: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+    pub block: BlockId,
+}
--- /dev/null
+++ b/src/controller/core.rs
@@ -0,0 +1,813 @@
+//! All of a controller's decisions, told the time and spoken to by messages.
+//!
+//! It composes the slices' cores; it knows no socket and reads no clock.
+
+use crate::blocks::holder::{self, Holder};
+use crate::blocks::member::Member;
+use crate::blocks::{LeaderRec, leader};
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::fleet::manager::{self, Manager, Types};
+use crate::fleet::{CloudReply, CloudRequest, MachineType};
+use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::mesh::{BlockNews, News};
+use crate::placement::Need;
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::store::mirror::{Mirror, Touched};
+use crate::store::{self, Change, Reply, Request, Row, Urgency, cond, keys};
+use crate::workers::{Direct, Orders, Report};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Who asked the store, as the answer comes back.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Tag {
+    Member,
+    Candidacy,
+    StepDown,
+    Grants,
+    Types,
+    Sums,
+    Resign(BlockId, Term),
+    Holder(BlockId, Term, holder::Write),
+    Manager(Stamp, manager::Write),
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    Loaded {
+        rows: Vec<Row>,
+        ledger: u64,
+        sent: Micros,
+    },
+    Changes {
+        log: Vec<Change>,
+        ledger: u64,
+        sent: Micros,
+    },
+    Stored {
+        tag: Tag,
+        reply: Reply,
+    },
+    CheckIn {
+        report: Report,
+        ticket: u64,
+    },
+    DirectAnswer {
+        block: BlockId,
+        term: Term,
+        machine: MachineId,
+        answer: DirectAnswer,
+    },
+    Cloud {
+        request: CloudRequest,
+        reply: CloudReply,
+    },
+    News(News),
+}
+
+#[derive(Debug)]
+pub enum DirectAnswer {
+    Report(Report),
+    /// It surely did not go out.
+    NotSent,
+    /// It may still arrive.
+    Lost,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Orders(Orders),
+    /// 421: another node answers this machine.
+    Elsewhere(Label),
+    /// 503: nobody is known to be entitled just now.
+    NotNow,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Store {
+        tag: Tag,
+        request: Request,
+        urgency: Urgency,
+    },
+    Answer {
+        ticket: u64,
+        answer: Answer,
+    },
+    Do {
+        block: BlockId,
+        term: Term,
+        machine: MachineId,
+        addr: String,
+        direct: Direct,
+    },
+    Cloud(CloudRequest),
+    News(News),
+    View(Arc<View>),
+}
+
+/// What the users' side needs to know, published whenever it changes.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct View {
+    pub types: Option<Vec<MachineType>>,
+    /// For each team: its block, and the stamp and term of the block's grant.
+    pub teams: Vec<(BlockId, Stamp, Term)>,
+    pub healthy: bool,
+}
+
+pub struct Core {
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    mirror: Mirror,
+    /// The store's revision that the mirror has reached, and when the reading
+    /// that reached it was asked for.
+    seen: Stamp,
+    read: Micros,
+    member: Member,
+    manager: Manager,
+    held: BTreeMap<BlockId, Holder>,
+    types: Option<Types>,
+    peers: BTreeMap<Label, (Micros, News)>,
+    joined: BTreeMap<Label, (Stamp, Micros)>,
+    /// When it was last seen that there is no leader.
+    leaderless: Option<Micros>,
+    leading_since: Option<Micros>,
+    out: BTreeMap<&'static str, Micros>,
+    started: Micros,
+    deaf_until: Micros,
+    last_news: Micros,
+    last_sums: Micros,
+    last_types: Micros,
+    last_resign: Micros,
+    fleet: Res,
+    view: Arc<View>,
+    needs: BTreeMap<BlockId, Vec<Need>>,
+}
+
+const NEWS_EVERY: Micros = Micros::from_millis(700);
+const SUMS_EVERY: Micros = Micros::from_millis(10_000);
+const SILENT_PEER: Micros = Micros::from_millis(5_000);
+/// A single request of a kind that was never answered is given up after this.
+const OUT_FOR: Micros = Micros::from_millis(6_000);
+
+impl Core {
+    pub fn new(settings: Rc<Settings>, policy: Rc<Policy>, now: Micros) -> Self {
+        let member = Member::new(
+            settings.label.clone(),
+            settings.mesh_addr.to_string(),
+            settings.lease(),
+            settings.act_for(),
+        );
+        Core {
+            manager: Manager::new(&settings),
+            settings,
+            policy,
+            mirror: Mirror::default(),
+            seen: Stamp(0),
+            read: Micros::ZERO,
+            member,
+            held: BTreeMap::new(),
+            types: None,
+            peers: BTreeMap::new(),
+            joined: BTreeMap::new(),
+            leaderless: None,
+            leading_since: None,
+            out: BTreeMap::new(),
+            started: now,
+            deaf_until: Micros::ZERO,
+            last_news: Micros::ZERO,
+            last_sums: now,
+            last_types: Micros::ZERO,
+            last_resign: Micros::ZERO,
+            fleet: Res::default(),
+            view: Arc::default(),
+            needs: BTreeMap::new(),
+        }
+    }
+
+    fn acting(&self, now: Micros) -> bool {
+        // Outside its lease a holder must not act: another may hold the block.
+        now < self.member.acts_until(self.read)
+    }
+
+    pub fn handle(&mut self, now: Micros, day: Micros, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match input {
+            Input::Tick => self.tick(now, day, &mut out),
+            Input::Loaded { rows, ledger, sent } => {
+                self.mirror.load(rows);
+                self.seen = Stamp(ledger);
+                self.read = sent;
+                self.held.clear();
+                self.changed(now, &mut out);
+            }
+            Input::Changes { log, ledger, sent } => self.changes(now, log, ledger, sent, &mut out),
+            Input::Stored { tag, reply } => self.stored(now, tag, &reply, &mut out),
+            Input::CheckIn { report, ticket } => {
+                let answer = self.check_in(now, day, &report);
+                out.push(Effect::Answer { ticket, answer });
+            }
+            Input::DirectAnswer {
+                block,
+                term,
+                machine,
+                answer,
+            } => {
+                if let Some(h) = self.held.get_mut(&block).filter(|h| h.term == term) {
+                    match answer {
+                        DirectAnswer::Report(r) => h.direct_answer(now, &machine, Some(r)),
+                        DirectAnswer::Lost => h.direct_answer(now, &machine, None),
+                        DirectAnswer::NotSent => h.direct_not_sent(&machine),
+                    }
+                }
+            }
+            Input::Cloud { request, reply } => self.cloud(now, request, reply, &mut out),
+            Input::News(news) => {
+                self.peers.insert(news.from.clone(), (now, news));
+            }
+        }
+        self.drive(now, day, &mut out);
+        out
+    }
+
+    /// What follows from any message: commands and writes of the held blocks.
+    fn drive(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
+        if !self.acting(now) {
+            return;
+        }
+        let fleet = self.fleet;
+        for (b, h) in &mut self.held {
+            h.decide(now, day, fleet);
+            let term = h.term;
+            let mut effects = h.directs(now);
+            effects.extend(h.writes(now));
+            out.extend(effects.into_iter().map(|e| holder_effect(*b, term, e)));
+        }
+    }
+
+    fn check_in(&mut self, now: Micros, day: Micros, r: &Report) -> Answer {
+        let found = self
+            .mirror
+            .machines
+            .iter()
+            .find_map(|(b, (_, recs))| recs.0.get(&r.machine).map(|m| (*b, m)));
+        // Not recorded in a block, or given up: nobody may answer with a token.
+        let Some((b, _)) = found.filter(|(_, m)| m.freed.is_none()) else {
+            return Answer::NotNow;
+        };
+        let Some((_, rec)) = self.mirror.holders.get(&b) else {
+            return Answer::NotNow;
+        };
+        if rec.holder != self.settings.label {
+            let alive = self.mirror.holder_alive(rec);
+            return if alive {
+                Answer::Elsewhere(rec.holder.clone())
+            } else {
+                Answer::NotNow
+            };
+        }
+        if !self.acting(now) {
+            return Answer::NotNow;
+        }
+        let fleet = self.fleet;
+        let orders = self
+            .held
+            .get_mut(&b)
+            .and_then(|h| h.check_in(now, day, fleet, r));
+        orders.map_or(Answer::NotNow, Answer::Orders)
+    }
+
+    fn changes(
+        &mut self,
+        now: Micros,
+        log: Vec<Change>,
+        ledger: u64,
+        sent: Micros,
+        out: &mut Vec<Effect>,
+    ) {
+        self.read = sent;
+        let quiet = log.is_empty();
+        let (mut jobs, mut machines) = (Vec::new(), Vec::new());
+        for change in log {
+            match self.mirror.change(change) {
+                Touched::Job(id) => jobs.push(id),
+                Touched::Machines(b) => machines.push(b),
+                Touched::Holder(_) | Touched::Other => {}
+            }
+        }
+        self.seen = Stamp(ledger.max(self.seen.0));
+        if quiet {
+            return;
+        }
+        // Grants first: a block that is no longer ours must not be told of jobs.
+        self.changed(now, out);
+        let types = self.types.clone().unwrap_or_default();
+        for h in self.held.values_mut() {
+            for id in &jobs {
+                h.sync_job(id, &self.mirror);
+            }
+            if machines.contains(&h.block) {
+                h.sync_machines(now, &self.mirror, &types, false);
+            }
+        }
+    }
+
+    /// After the mirror or our membership changed: what we hold, and the view.
+    fn changed(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if let Some((_, t)) = &self.mirror.types
+            && self.types.as_ref().is_none_or(|old| **old != *t)
+        {
+            self.types = Some(Rc::new(t.clone()));
+        }
+        for (label, (stamp, _)) in &self.mirror.members {
+            if self.joined.get(label).is_none_or(|(s, _)| s != stamp) {
+                self.joined.insert(label.clone(), (*stamp, now));
+            }
+        }
+        self.leaderless = if self.mirror.leader.is_some() {
+            None
+        } else {
+            self.leaderless.or(Some(now))
+        };
+        let leading = leader::as_leader(&self.mirror, &self.settings.label).is_some();
+        if leading && self.leading_since.is_none() {
+            tracing::info!("leading");
+        }
+        self.leading_since = leading.then(|| self.leading_since.unwrap_or(now));
+        let ours = |rec: &crate::blocks::HolderRec| {
+            rec.holder == self.settings.label && Some(rec.incarnation) == self.member.incarnation()
+        };
+        let mirror = &self.mirror;
+        self.held.retain(|b, h| {
+            let keep = mirror
+                .holders
+                .get(b)
+                .is_some_and(|(_, rec)| ours(rec) && rec.term == h.term);
+            if !keep {
+                tracing::info!(block = %b, term = %h.term, "block is no longer ours");
+            }
+            keep
+        });
+        if let Some(types) = self.types.clone() {
+            for (b, (stamp, rec)) in &self.mirror.holders {
+                if ours(rec) && !self.held.contains_key(b) {
+                    tracing::info!(block = %b, term = %rec.term, "block is ours");
+                    let mut h = Holder::new(*b, rec, *stamp, &self.settings, &self.policy, now);
+                    h.take_over(now, &self.mirror, &types);
+                    self.held.insert(*b, h);
+                }
+            }
+            let mut fleet = Res::default();
+            for m in self
+                .mirror
+                .machines
+                .values()
+                .flat_map(|(_, r)| r.0.values())
+            {
+                if let Some(t) = types.iter().find(|t| t.name == m.build) {
+                    fleet += t.capacity();
+                }
+            }
+            self.fleet = fleet;
+        }
+        self.publish(now, out);
+    }
+
+    fn publish(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let s = &self.settings;
+        let teams = (0..s.platform.teams.len())
+            .map(|t| {
+                let b = leader::block_of(&self.mirror, s, self.policy.blocks, t);
+                let rec = self.mirror.holders.get(&b);
+                rec.map_or((b, Stamp(0), Term(0)), |(stamp, rec)| (b, *stamp, rec.term))
+            })
+            .collect();
+        let view = View {
+            types: self.types.as_deref().cloned(),
+            teams,
+            healthy: self.healthy(now),
+        };
+        if view != *self.view {
+            self.view = Arc::new(view);
+            out.push(Effect::View(self.view.clone()));
+        }
+    }
+
+    /// Whether users should come here: not while we lack the store and another
+    /// node has it. In an outage all lack it, and nobody gains from a removal.
+    fn healthy(&self, now: Micros) -> bool {
+        if !self.mirror.loaded {
+            return false;
+        }
+        let store_ok = self.store_ok(now);
+        let better = self
+            .peers
+            .values()
+            .any(|(at, n)| now.since(*at) < Micros::from_millis(3_000) && n.store_ok);
+        store_ok || !better
+    }
+
+    fn store_ok(&self, now: Micros) -> bool {
+        now.since(self.read) < Micros::from_millis(5_500)
+    }
+
+    /// Whether a member shows signs of life and hears its workers.
+    fn fit(&self, now: Micros, label: &Label) -> bool {
+        if *label == self.settings.label {
+            return now >= self.deaf_until;
+        }
+        let joined = self.joined.get(label).map_or(Micros::ZERO, |(_, at)| *at);
+        match self.peers.get(label) {
+            Some((at, news)) => {
+                now.since((*at).max(joined)) < SILENT_PEER && (news.hears_workers || joined > *at)
+            }
+            None => now.since(joined) < SILENT_PEER,
+        }
+    }
+
+    /// Others are members, but none of them is heard: we may be cut off.
+    fn lonely(&self, now: Micros) -> bool {
+        let mut others = self
+            .mirror
+            .members
+            .keys()
+            .filter(|l| **l != self.settings.label)
+            .peekable();
+        let since = self.leading_since.unwrap_or(self.started).max(self.started);
+        others.peek().is_some()
+            && now.since(since) > Micros::from_millis(8_000)
+            && others.all(|l| {
+                self.peers
+                    .get(l)
+                    .is_none_or(|(at, _)| now.since(*at) > Micros::from_millis(8_000))
+            })
+    }
+
+    /// One request of a kind at a time; a kind that hangs is freed in the end.
+    fn claim(&mut self, now: Micros, kind: &'static str) -> bool {
+        if self
+            .out
+            .get(kind)
+            .is_some_and(|at| now.since(*at) < OUT_FOR)
+        {
+            return false;
+        }
+        self.out.insert(kind, now);
+        true
+    }
+
+    fn tick(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
+        if let Some(request) = self.member.step(now) {
+            out.push(Effect::Store {
+                tag: Tag::Member,
+                request,
+                urgency: Urgency::Vital,
+            });
+        }
+        self.publish(now, out);
+        if self.mirror.loaded && self.types.is_none() && self.claim(now, "types") {
+            out.push(Effect::Cloud(CloudRequest::Types));
+        }
+        if !self.acting(now) {
+            return;
+        }
+        self.lead(now, out);
+        for h in self.held.values_mut() {
+            h.tick(now);
+        }
+        self.tell(now, day, out);
+        self.resign(now, out);
+    }
+
+    /// Standing for leader, granting, and the fleet.
+    fn lead(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let label = self.settings.label.clone();
+        let (Some(incarnation), Some(tenure)) = (self.member.incarnation(), self.member.tenure())
+        else {
+            return;
+        };
+        if let Some(since) = self.leaderless {
+            let lonely = self.lonely(now) || now < self.deaf_until;
+            if leader::candidacy(&self.mirror, &label, incarnation, since, now, lonely)
+                && self.claim(now, "candidacy")
+            {
+                let conds = vec![
+                    cond(keys::LEADER.into(), Stamp(0)),
+                    cond(keys::member(&label), incarnation),
+                ];
+                let ops = vec![store::set_leased(
+                    keys::LEADER.into(),
+                    &LeaderRec {
+                        holder: label.clone(),
+                    },
+                    tenure,
+                )];
+                out.push(vital(Tag::Candidacy, conds, ops));
+            }
+            return;
+        }
+        let Some(leader_cond) = leader::as_leader(&self.mirror, &label) else {
+            return;
+        };
+        if self.lonely(now) && self.claim(now, "step_down") {
+            // Behind a cut a leader still reaches the store, but not those it leads.
+            tracing::info!("no other member is heard: stepping down");
+            out.push(vital(
+                Tag::StepDown,
+                vec![leader_cond],
+                vec![store::delete(keys::LEADER.into())],
+            ));
+            return;
+        }
+        let since = self.leading_since.unwrap_or(now);
+        let complete = self.mirror.members.len() >= self.settings.platform.initial_size;
+        // At the very start, others are about to join: blocks go round at once.
+        if complete
+            || !self.mirror.holders.is_empty()
+            || now.since(since) > Micros::from_millis(2_000)
+        {
+            let fit = |l: &Label| self.fit(now, l);
+            let grants = leader::grants(&self.mirror, &self.settings, self.policy.blocks, &fit);
+            if let Some((conds, ops)) = grants
+                && self.claim(now, "grants")
+            {
+                out.push(vital(Tag::Grants, conds, ops));
+            }
+        }
+        if let Some(types) = self.types.clone() {
+            if now.since(self.last_types) > Micros::from_millis(60_000) && self.claim(now, "types")
+            {
+                // Spot prices move.
+                self.last_types = now;
+                out.push(Effect::Cloud(CloudRequest::Types));
+            }
+            let news = self.all_news(now);
+            let reign = self.mirror.leader.as_ref().map_or(Stamp(0), |(s, _)| *s);
+            for e in self
+                .manager
+                .step(now, &self.mirror, self.seen, &types, &news)
+            {
+                out.push(match e {
+                    manager::Effect::Cloud(request) => Effect::Cloud(request),
+                    manager::Effect::Txn(write, conds, ops) => Effect::Store {
+                        tag: Tag::Manager(reign, write),
+                        request: Request::Txn { conds, ops },
+                        urgency: Urgency::Prompt,
+                    },
+                });
+            }
+        }
+    }
+
+    /// The newest word on every block, our own included.
+    fn all_news(&self, now: Micros) -> BTreeMap<BlockId, BlockNews> {
+        let mut all: BTreeMap<BlockId, BlockNews> = BTreeMap::new();
+        let theirs = self.peers.values().flat_map(|(at, n)| {
+            n.blocks.iter().map(move |b| BlockNews {
+                at: *at,
+                ..b.clone()
+            })
+        });
+        for n in theirs.chain(self.own_news(now)) {
+            if all
+                .get(&n.block)
+                .is_none_or(|o| (o.term, o.at) < (n.term, n.at))
+            {
+                all.insert(n.block, n);
+            }
+        }
+        all
+    }
+
+    fn own_news(&self, now: Micros) -> Vec<BlockNews> {
+        let news = |h: &Holder| BlockNews {
+            at: now,
+            block: h.block,
+            term: h.term,
+            needs: self.needs.get(&h.block).cloned().unwrap_or_default(),
+            dead: h.dead(now),
+        };
+        self.held.values().map(news).collect()
+    }
+
+    /// Tells the peers, gives up what is idle, and writes the sums.
+    fn tell(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
+        if now.since(self.last_news) < NEWS_EVERY {
+            return;
+        }
+        self.last_news = now;
+        let fleet = self.fleet;
+        self.needs = self
+            .held
+            .iter()
+            .map(|(b, h)| (*b, h.needs(now, day, fleet)))
+            .collect();
+        let blocks = self.own_news(now);
+        for n in blocks.iter().filter(|n| !n.dead.is_empty()) {
+            if let Some(h) = self.held.get_mut(&n.block) {
+                h.condemn(&n.dead);
+            }
+        }
+        out.push(Effect::News(News {
+            from: self.settings.label.clone(),
+            incarnation: self.member.incarnation().unwrap_or_default(),
+            store_ok: self.store_ok(now),
+            hears_workers: now >= self.deaf_until,
+            blocks,
+        }));
+        let all = self.all_news(now);
+        for (b, h) in &mut self.held {
+            let others: Vec<Need> = all
+                .iter()
+                .filter(|(o, n)| *o != b && now.since(n.at) < Micros::from_millis(3_000))
+                .flat_map(|(_, n)| n.needs.iter().cloned())
+                .collect();
+            let own = self.needs.get(b).map(Vec::as_slice).unwrap_or_default();
+            if let Some(e) = h.give_up(now, &self.mirror, own, &others) {
+                out.push(holder_effect(*b, h.term, e));
+            }
+        }
+        if now.since(self.last_sums) >= SUMS_EVERY {
+            self.last_sums = now;
+            let mut sums = BTreeMap::new();
+            for h in self.held.values() {
+                sums.extend(h.sums(now, day, fleet));
+            }
+            let ops = vec![store::set(keys::sums(&self.settings.label), &sums)];
+            let request = Request::Txn { conds: vec![], ops };
+            out.push(Effect::Store {
+                tag: Tag::Sums,
+                request,
+                urgency: Urgency::Spare,
+            });
+        }
+    }
+
+    /// Hands blocks back: all if we hear no machine, one if others hold fewer.
+    fn resign(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let others = self
+            .mirror
+            .members
+            .keys()
+            .filter(|l| **l != self.settings.label);
+        let counts: Vec<usize> = others
+            .filter(|l| self.fit(now, l) && self.peers.contains_key(*l))
+            .map(|l| {
+                self.mirror
+                    .holders
+                    .values()
+                    .filter(|(_, r)| r.holder == *l && self.mirror.holder_alive(r))
+                    .count()
+            })
+            .collect();
+        let Some(least) = counts.iter().min() else {
+            return;
+        };
+        if self.held.values().any(|h| h.deaf(now)) {
+            tracing::info!("none of our machines is heard: handing our blocks back");
+            self.deaf_until = now + Micros::from_millis(30_000);
+            for h in self.held.values() {
+                let (conds, ops) = h.resignation();
+                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+            }
+            return;
+        }
+        let settled = self
+            .held
+            .values()
+            .all(|h| !h.rebuilding() && now.since(h.granted) > Micros::from_millis(5_000));
+        if self.held.len() >= least + 2
+            && settled
+            && now.since(self.last_resign) > Micros::from_millis(10_000)
+        {
+            self.last_resign = now;
+            if let Some(h) = self.held.values().next_back() {
+                tracing::info!(block = %h.block, "another member holds fewer blocks: handing one over");
+                let (conds, ops) = h.resignation();
+                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+            }
+        }
+    }
+
+    fn stored(&mut self, now: Micros, tag: Tag, reply: &Reply, out: &mut Vec<Effect>) {
+        match tag {
+            Tag::Member => {
+                let before = self.member.incarnation();
+                self.member.reply(now, reply);
+                if self.member.incarnation() != before {
+                    tracing::info!(incarnation = ?self.member.incarnation(), "membership");
+                    self.changed(now, out);
+                }
+            }
+            Tag::Candidacy => {
+                self.out.remove("candidacy");
+            }
+            Tag::StepDown => {
+                self.out.remove("step_down");
+            }
+            Tag::Grants => {
+                // Until the mirror shows them, the same grants would be tried again.
+                if !matches!(reply, Reply::Committed(_)) {
+                    self.out.remove("grants");
+                } else {
+                    self.out
+                        .insert("grants", (now + Micros::from_millis(600)).since(OUT_FOR));
+                }
+            }
+            Tag::Types => {
+                self.out.remove("types");
+            }
+            Tag::Sums | Tag::Resign(..) => {}
+            Tag::Holder(b, term, write) => {
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.stored(now, write, reply);
+                }
+            }
+            Tag::Manager(reign, write) => {
+                // An earlier reign's answers mean nothing to this one.
+                if self
+                    .mirror
+                    .leader
+                    .as_ref()
+                    .is_some_and(|(s, _)| *s == reign)
+                {
+                    self.manager.stored(now, write, reply);
+                }
+            }
+        }
+    }
+
+    fn cloud(
+        &mut self,
+        now: Micros,
+        request: CloudRequest,
+        reply: CloudReply,
+        out: &mut Vec<Effect>,
+    ) {
+        if request != CloudRequest::Types {
+            self.manager.cloud(now, request, reply);
+            return;
+        }
+        let CloudReply::Types(types) = reply else {
+            // Asked again after a while, or read from the store where another node
+            // had more luck.
+            self.out
+                .insert("types", (now + Micros::from_millis(1_000)).since(OUT_FOR));
+            return;
+        };
+        self.out.remove("types");
+        let (stamp, old) = self
+            .mirror
+            .types
+            .as_ref()
+            .map_or((Stamp(0), &[][..]), |(s, t)| (*s, t.as_slice()));
+        if old != types.as_slice() {
+            let ops = vec![store::set(keys::TYPES.into(), &types)];
+            let request = Request::Txn {
+                conds: vec![cond(keys::TYPES.into(), stamp)],
+                ops,
+            };
+            out.push(Effect::Store {
+                tag: Tag::Types,
+                request,
+                urgency: Urgency::Prompt,
+            });
+        }
+        self.types = Some(Rc::new(types));
+        self.changed(now, out);
+    }
+}
+
+fn vital(tag: Tag, conds: Vec<store::Cond>, ops: Vec<store::Op>) -> Effect {
+    Effect::Store {
+        tag,
+        request: Request::Txn { conds, ops },
+        urgency: Urgency::Vital,
+    }
+}
+
+fn holder_effect(block: BlockId, term: Term, e: holder::Effect) -> Effect {
+    match e {
+        holder::Effect::Do(machine, addr, direct) => Effect::Do {
+            block,
+            term,
+            machine,
+            addr,
+            direct,
+        },
+        holder::Effect::Get(write, key) => Effect::Store {
+            tag: Tag::Holder(block, term, write),
+            request: Request::Get { key },
+            urgency: Urgency::Prompt,
+        },
+        holder::Effect::Txn(write, conds, ops) => Effect::Store {
+            tag: Tag::Holder(block, term, write),
+            request: Request::Txn { conds, ops },
+            urgency: Urgency::Prompt,
+        },
+    }
+}
--- /dev/null
+++ b/src/controller/http.rs
@@ -0,0 +1,122 @@
+//! Kept, bounded HTTP/1.1 connections to one address, with a deadline on every wait.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Surely not carried out.
+    NotSent,
+    /// It may have been carried out, or may still be.
+    NoAnswer,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+pub struct Pool {
+    addr: String,
+    idle: RefCell<Vec<Sender>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+const CONNECT: Duration = Duration::from_millis(1_000);
+
+impl Pool {
+    pub fn new(addr: String, most: usize) -> Self {
+        Pool {
+            addr,
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+        }
+    }
+
+    async fn connect(&self, until: Instant) -> Option<Sender> {
+        if self.open.get() >= self.most {
+            return None;
+        }
+        let until = until.min(Instant::now() + CONNECT);
+        // A connection attempt that was given up does not complete later.
+        let stream = timeout_at(until, TcpStream::connect(&self.addr))
+            .await
+            .ok()?
+            .ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, conn) = timeout_at(until, http1::handshake(TokioIo::new(stream)))
+            .await
+            .ok()?
+            .ok()?;
+        let open = self.open.clone();
+        open.set(open.get() + 1);
+        tokio::task::spawn_local(async move {
+            let _ = conn.await;
+            open.set(open.get() - 1);
+        });
+        Some(sender)
+    }
+
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&serde_json::Value>,
+        within: Duration,
+    ) -> Result<(u16, Bytes), Failure> {
+        let until = Instant::now() + within;
+        let bytes = body.map_or_else(Bytes::new, |b| Bytes::from(b.to_string()));
+        let mut request = hyper::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", &self.addr)
+            .header("content-type", "application/json")
+            .body(Full::new(bytes))
+            .map_err(|_| Failure::NotSent)?;
+        loop {
+            let kept = self.idle.borrow_mut().pop();
+            let fresh = kept.is_none();
+            let mut sender = match kept {
+                Some(s) => s,
+                None => self.connect(until).await.ok_or(Failure::NotSent)?,
+            };
+            if sender.is_closed() {
+                continue;
+            }
+            match timeout_at(until, sender.ready()).await {
+                Ok(Ok(())) => {}
+                _ if fresh => return Err(Failure::NotSent),
+                _ => continue,
+            }
+            let answer = match timeout_at(until, sender.try_send_request(request)).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(mut e)) => match e.take_message() {
+                    // A kept connection was closed before anything went out on it.
+                    Some(back) if !fresh => {
+                        request = back;
+                        continue;
+                    }
+                    Some(_) => return Err(Failure::NotSent),
+                    None => return Err(Failure::NoAnswer),
+                },
+                Err(_) => return Err(Failure::NoAnswer),
+            };
+            let status = answer.status().as_u16();
+            let whole = timeout_at(until, answer.into_body().collect()).await;
+            let body = whole
+                .map_err(|_| Failure::NoAnswer)?
+                .map_err(|_| Failure::NoAnswer)?
+                .to_bytes();
+            if !sender.is_closed() {
+                self.idle.borrow_mut().push(sender);
+            }
+            return Ok((status, body));
+        }
+    }
+}
--- /dev/null
+++ b/src/fairness/mod.rs
@@ -0,0 +1,166 @@
+//! Heaviness: how much of the fleet a team's running tasks are endowed with,
+//! less what it is entitled to (the paper's Section III-C, Equations 1 to 4).
+
+use serde::{Deserialize, Serialize};
+use std::ops::{AddAssign, Sub, SubAssign};
+
+/// Amounts of each resource: of a task, a machine or the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Res {
+    pub cores: f64,
+    pub cards: f64,
+    pub mem: f64,
+}
+
+/// Sums of decimal amounts may be off by this much.
+const EPS: f64 = 1e-6;
+
+impl Res {
+    pub fn new(cores: f64, cards: f64, mem: f64) -> Self {
+        Res { cores, cards, mem }
+    }
+
+    fn zip(self, o: Res, f: impl Fn(f64, f64) -> f64) -> Res {
+        Res::new(
+            f(self.cores, o.cores),
+            f(self.cards, o.cards),
+            f(self.mem, o.mem),
+        )
+    }
+
+    pub fn scale(self, by: f64) -> Res {
+        Res::new(self.cores * by, self.cards * by, self.mem * by)
+    }
+
+    pub fn fits_in(&self, room: &Res) -> bool {
+        self.cores <= room.cores + EPS
+            && self.cards <= room.cards + EPS
+            && self.mem <= room.mem + EPS
+    }
+
+    /// How many of these fit side by side.
+    pub fn times_in(&self, room: &Res) -> u32 {
+        let n = |need: f64, have: f64| {
+            if need <= EPS {
+                f64::INFINITY
+            } else {
+                ((have + EPS) / need).floor()
+            }
+        };
+        let least = n(self.cores, room.cores)
+            .min(n(self.cards, room.cards))
+            .min(n(self.mem, room.mem));
+        least.clamp(0.0, 1e6) as u32
+    }
+
+    /// The largest share of `whole` that any resource takes.
+    pub fn share_of(&self, whole: &Res) -> f64 {
+        let q = self.zip(*whole, |a, b| if b > 0.0 { a / b } else { 0.0 });
+        q.cores.max(q.cards).max(q.mem)
+    }
+}
+
+impl AddAssign for Res {
+    fn add_assign(&mut self, o: Res) {
+        *self = self.zip(o, |a, b| a + b);
+    }
+}
+
+impl SubAssign for Res {
+    fn sub_assign(&mut self, o: Res) {
+        *self = self.zip(o, |a, b| a - b);
+    }
+}
+
+impl Sub for Res {
+    type Output = Res;
+    fn sub(self, o: Res) -> Res {
+        self.zip(o, |a, b| a - b)
+    }
+}
+
+/// Equation 1: a request times its machine's capacity over the machine's
+/// summed requests, for each resource.
+pub fn endowment(request: Res, capacity: Res, summed: Res) -> Res {
+    let ratio = capacity.zip(summed, |c, s| if s > 0.0 { c / s } else { 0.0 });
+    request.zip(ratio, |r, q| r * q)
+}
+
+/// Static heaviness `s`: the endowment's share of the fleet, summed over the
+/// resources that the fleet has. It rises strictly with each of them.
+pub fn s(endowed: Res, fleet: Res) -> f64 {
+    let share = endowed.zip(fleet, |e, f| if f > 0.0 { e / f } else { 0.0 });
+    share.cores + share.cards + share.mem
+}
+
+/// Equation 3 with guarantees for quotas: the fleet's share that is
+/// proportional to a team's guarantee; zero where nothing is guaranteed.
+pub fn actual_quota(guarantee: Res, fleet: Res, guarantees: Res) -> Res {
+    let ratio = fleet.zip(guarantees, |f, g| if g > 0.0 { f / g } else { 0.0 });
+    guarantee.zip(ratio, |g, q| g * q)
+}
+
+/// Equation 4 with `d = 0` and `s' = s`: what each team's tasks on one machine
+/// add to its heaviness, given the team's summed requests there.
+pub fn machine_share(requests: Res, capacity: Res, summed: Res, fleet: Res) -> f64 {
+    s(endowment(requests, capacity, summed), fleet)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn near(a: f64, b: f64) {
+        assert!((a - b).abs() < 1e-9, "{a} is not {b}");
+    }
+
+    #[test]
+    fn endowments_share_out_the_whole_machine() {
+        // A machine of 16 cores and 64 GB with requests (2, 8) and (6, 24):
+        // the first has 16 * 2/8 = 4 cores and 64 * 8/32 = 16 GB.
+        let (a, b) = (Res::new(2.0, 0.0, 8.0), Res::new(6.0, 0.0, 24.0));
+        let mut sum = a;
+        sum += b;
+        let cap = Res::new(16.0, 0.0, 64.0);
+        assert_eq!(endowment(a, cap, sum), Res::new(4.0, 0.0, 16.0));
+        assert_eq!(endowment(b, cap, sum), Res::new(12.0, 0.0, 48.0));
+        // Alone on the machine, a task is endowed with all of it.
+        assert_eq!(endowment(a, cap, a), cap);
+    }
+
+    #[test]
+    fn s_sums_the_shares_of_what_the_fleet_has() {
+        let fleet = Res::new(100.0, 0.0, 400.0);
+        near(s(Res::new(4.0, 0.0, 16.0), fleet), 0.04 + 0.04);
+        // A resource that the fleet lacks counts nothing.
+        near(s(Res::new(4.0, 3.0, 16.0), fleet), 0.08);
+    }
+
+    #[test]
+    fn quota_scales_the_guarantee_to_the_fleet() {
+        let fleet = Res::new(160.0, 0.0, 640.0);
+        let all = Res::new(320.0, 0.0, 0.0);
+        let aq = actual_quota(Res::new(32.0, 0.0, 0.0), fleet, all);
+        assert_eq!(aq, Res::new(16.0, 0.0, 0.0));
+        assert_eq!(
+            actual_quota(Res::default(), fleet, Res::default()),
+            Res::default()
+        );
+        // Heaviness: one task alone on a 16-core, 64 GB machine, less the quota.
+        let heavy = machine_share(
+            Res::new(2.0, 0.0, 8.0),
+            Res::new(16.0, 0.0, 64.0),
+            Res::new(2.0, 0.0, 8.0),
+            fleet,
+        );
+        near(heavy - s(aq, fleet), 0.1 + 0.1 - 0.1);
+    }
+
+    #[test]
+    fn fitting_counts_every_resource() {
+        let task = Res::new(2.0, 0.0, 7.3);
+        assert_eq!(task.times_in(&Res::new(16.0, 0.0, 64.0)), 8);
+        assert_eq!(task.times_in(&Res::new(16.0, 0.0, 20.0)), 2);
+        assert!(!Res::new(1.0, 1.0, 1.0).fits_in(&Res::new(4.0, 0.0, 16.0)));
+    }
+}
--- /dev/null
+++ b/src/fleet/client.rs
@@ -0,0 +1,132 @@
+//! HTTP to the cloud, below its limit at all times.
+
+use super::{CloudReply, CloudRequest, Listed, MachineType};
+use crate::clock::Steady;
+use crate::controller::http::Pool;
+use crate::ids::MachineId;
+use crate::store::client::Bucket;
+use serde::Deserialize;
+use serde_json::json;
+use std::cell::RefCell;
+use std::time::Duration;
+
+pub struct Cloud {
+    pool: Pool,
+    bucket: RefCell<Bucket>,
+    clock: Steady,
+}
+
+const DEADLINE: Duration = Duration::from_secs(6);
+const PAGE: usize = 500;
+
+#[derive(Deserialize)]
+struct Types {
+    builds: Vec<MachineType>,
+}
+#[derive(Deserialize)]
+struct Rented {
+    rigs: Vec<MachineId>,
+}
+#[derive(Deserialize)]
+struct List {
+    rigs: Vec<Listed>,
+    #[serde(default)]
+    more: bool,
+}
+
+impl Cloud {
+    pub fn new(pool: Pool, clock: Steady, rps: f64) -> Self {
+        // Only the leader calls regularly; the others' few calls at their start
+        // fit into what is left.
+        Cloud {
+            pool,
+            bucket: RefCell::new(Bucket::new(rps * 0.75, clock.now())),
+            clock,
+        }
+    }
+
+    pub async fn ask(&self, request: &CloudRequest) -> CloudReply {
+        match request {
+            CloudRequest::Types => match self.call("GET", "/machine_types", None).await {
+                Some((200, b)) => {
+                    read(&b).map_or(CloudReply::Unknown, |t: Types| CloudReply::Types(t.builds))
+                }
+                _ => CloudReply::Unknown,
+            },
+            CloudRequest::List => self
+                .list()
+                .await
+                .map_or(CloudReply::Unknown, CloudReply::List),
+            CloudRequest::Rent(name, hire) => {
+                let body = json!({"hire": name, "build": hire.build, "yard": hire.zone,
+                                  "loaners": hire.spot, "howMany": hire.count});
+                match self.call("POST", "/machines", Some(body)).await {
+                    Some((200, b)) => {
+                        read(&b).map_or(CloudReply::Unknown, |r: Rented| CloudReply::Rented(r.rigs))
+                    }
+                    Some((503, b)) if contains(&b, b"no capacity") => CloudReply::NoCapacity,
+                    // Malformed: it was not carried out and never will be.
+                    Some((400, _)) => CloudReply::NoCapacity,
+                    _ => CloudReply::Unknown,
+                }
+            }
+            CloudRequest::Return(ids) => {
+                match self
+                    .call("POST", "/machines/return", Some(json!({"rigs": ids})))
+                    .await
+                {
+                    Some((200, _)) => CloudReply::Returned,
+                    _ => CloudReply::Unknown,
+                }
+            }
+        }
+    }
+
+    async fn list(&self) -> Option<Vec<Listed>> {
+        let mut all: Vec<Listed> = Vec::new();
+        loop {
+            let since = all
+                .last()
+                .map_or(String::new(), |m| format!("since={}&", m.id));
+            let (status, body) = self
+                .call("GET", &format!("/machines?{since}most={PAGE}"), None)
+                .await?;
+            let page: List = if status == 200 {
+                read(&body)?
+            } else {
+                return None;
+            };
+            let more = page.more && !page.rigs.is_empty();
+            all.extend(page.rigs);
+            if !more {
+                return Some(all);
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<serde_json::Value>,
+    ) -> Option<(u16, bytes::Bytes)> {
+        loop {
+            if self.bucket.borrow_mut().take(self.clock.now(), 1.0, 0.0) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        self.pool
+            .call(method, path, body.as_ref(), DEADLINE)
+            .await
+            .ok()
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+fn contains(body: &[u8], what: &[u8]) -> bool {
+    body.windows(what.len()).any(|w| w == what)
+}
--- /dev/null
+++ b/src/fleet/manager.rs
@@ -0,0 +1,696 @@
+//! The leader's dealings with the cloud: what to rent, what to return, and
+//! which block each machine goes to.
+
+use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
+use crate::blocks::leader::{as_leader, take_terms};
+use crate::blocks::{Freed, HireRec, MachineRec, MachinesRec};
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::mesh::BlockNews;
+use crate::placement::Need;
+use crate::settings::Settings;
+use crate::store::mirror::Mirror;
+use crate::store::{self, Cond, Op, Reply, cond, keys};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// A leader's write, as it comes back with its answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    /// Machines' keys; the hires that it settles.
+    Machines {
+        settled: Vec<String>,
+        removed: Vec<MachineId>,
+    },
+    Hire {
+        name: String,
+        hire: HireRec,
+    },
+    Drop {
+        name: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Txn(Write, Vec<Cond>, Vec<Op>),
+    Cloud(CloudRequest),
+}
+
+/// A type, zone and kind that the cloud may or may not have more of.
+type Offer = (String, String, bool);
+
+#[derive(Debug, Default)]
+struct Backoff {
+    until: Micros,
+    times: u32,
+}
+
+#[derive(Debug)]
+enum Hire {
+    /// The record's write is out.
+    Recording,
+    /// Recorded: the cloud is to be asked, now or again.
+    Ask(Micros),
+    Asked,
+    Rented(Vec<MachineId>),
+    Refused,
+}
+
+/// What only lives while this controller leads.
+pub struct Manager {
+    me: Label,
+    txn_ops: usize,
+    lag: Micros,
+    report: Micros,
+    /// The leadership that this state belongs to, by the leader key's stamp.
+    reign: Stamp,
+    counter: u64,
+    list: BTreeMap<MachineId, Listed>,
+    listing: bool,
+    listed_at: Micros,
+    hires: BTreeMap<String, (HireRec, Hire)>,
+    backoff: BTreeMap<Offer, Backoff>,
+    /// Being returned: when to ask (again), or that the cloud has confirmed it.
+    returning: BTreeMap<MachineId, Option<Micros>>,
+    return_out: Vec<MachineId>,
+    returned: BTreeSet<MachineId>,
+    writing: bool,
+    /// The mirror must have caught up with this before the next write.
+    wait_for: Stamp,
+    /// Room that reports don't show yet, with the time from when they will.
+    credits: Vec<(BlockId, Micros, Res, u32)>,
+}
+
+const LIST_EVERY: Micros = Micros::from_millis(3_000);
+const CREDIT: Micros = Micros::from_millis(3_000);
+const MOST_HIRES_OUT: usize = 3;
+const MOST_PER_HIRE: u32 = 8;
+
+impl Manager {
+    pub fn new(settings: &Settings) -> Self {
+        Manager {
+            me: settings.label.clone(),
+            txn_ops: settings.platform.state.txn_ops,
+            lag: Micros::from_secs(settings.platform.cloud.list_lag_s),
+            report: Micros::from_secs(settings.platform.workers.report_s),
+            reign: Stamp(0),
+            counter: 0,
+            list: BTreeMap::new(),
+            listing: false,
+            listed_at: Micros::ZERO,
+            hires: BTreeMap::new(),
+            backoff: BTreeMap::new(),
+            returning: BTreeMap::new(),
+            return_out: Vec::new(),
+            returned: BTreeSet::new(),
+            writing: false,
+            wait_for: Stamp(0),
+            credits: Vec::new(),
+        }
+    }
+
+    /// One look at everything. Called often; does little when nothing is due.
+    pub fn step(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        seen: Stamp,
+        types: &[MachineType],
+        news: &BTreeMap<BlockId, BlockNews>,
+    ) -> Vec<Effect> {
+        let Some(leader) = as_leader(mirror, &self.me) else {
+            return Vec::new();
+        };
+        if self.reign != leader.stamp {
+            // What an earlier reign knew is stale; answers still out are dropped by
+            // their names. Its hires are in the store.
+            let fresh = Manager {
+                reign: leader.stamp,
+                counter: self.counter,
+                ..self.cleared()
+            };
+            *self = fresh;
+        }
+        let mut out = Vec::new();
+        if seen >= self.wait_for {
+            // Before that the mirror may show hires that are settled.
+            self.adopt_hires(now, mirror);
+        }
+        if !self.listing && now.since(self.listed_at) >= LIST_EVERY {
+            self.listing = true;
+            self.listed_at = now;
+            out.push(Effect::Cloud(CloudRequest::List));
+        }
+        self.find_returns(now, mirror, types, news);
+        self.ask_returns(now, &mut out);
+        if !self.writing && seen >= self.wait_for {
+            out.extend(self.change_machines(now, mirror, &leader, news));
+        }
+        self.ask_hires(now, mirror, &leader, &mut out);
+        self.rent(now, mirror, &leader, types, news, &mut out);
+        out
+    }
+
+    fn cleared(&self) -> Manager {
+        Manager {
+            me: self.me.clone(),
+            txn_ops: self.txn_ops,
+            lag: self.lag,
+            report: self.report,
+            reign: Stamp(0),
+            counter: 0,
+            list: BTreeMap::new(),
+            listing: false,
+            listed_at: Micros::ZERO,
+            hires: BTreeMap::new(),
+            backoff: BTreeMap::new(),
+            returning: BTreeMap::new(),
+            return_out: Vec::new(),
+            returned: BTreeSet::new(),
+            writing: false,
+            wait_for: Stamp(0),
+            credits: Vec::new(),
+        }
+    }
+
+    /// Hires that an earlier leader recorded are repeated under their names.
+    fn adopt_hires(&mut self, now: Micros, mirror: &Mirror) {
+        for (name, (_, rec)) in &mirror.hires {
+            self.hires
+                .entry(name.clone())
+                .or_insert_with(|| (rec.clone(), Hire::Ask(now)));
+        }
+    }
+
+    fn find_returns(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        types: &[MachineType],
+        news: &BTreeMap<BlockId, BlockNews>,
+    ) {
+        let mut add = |id: &MachineId, why: &str| {
+            if !self.returning.contains_key(id) && !self.returned.contains(id) {
+                tracing::info!(machine = %id, why, "returning");
+                self.returning.insert(id.clone(), Some(now));
+            }
+        };
+        for (b, (_, rec)) in &mirror.machines {
+            let fresh = news
+                .get(b)
+                .filter(|n| now.since(n.at) < Micros::from_millis(4_000));
+            for (id, r) in &rec.0 {
+                if r.freed == Some(Freed::Return) {
+                    add(id, "idle");
+                }
+                let dead = fresh.is_some_and(|n| {
+                    n.dead.contains(id)
+                        && mirror.holders.get(b).is_some_and(|(_, h)| h.term == n.term)
+                });
+                if dead {
+                    add(id, "silent or failing");
+                }
+            }
+        }
+        for m in self.list.values() {
+            let boot = types
+                .iter()
+                .find(|t| t.name == m.build)
+                .map_or(60.0, |t| t.boot_s);
+            if m.standing == CloudStanding::Failed {
+                add(&m.id, "failed");
+            } else if m.standing == CloudStanding::Booting && m.age_s > boot * 2.5 + 10.0 {
+                // It may never come up, and is charged all the while.
+                add(&m.id, "not up in time");
+            }
+        }
+    }
+
+    fn ask_returns(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if !self.return_out.is_empty() {
+            return;
+        }
+        let due = self
+            .returning
+            .iter()
+            .filter(|(_, at)| at.is_some_and(|at| now >= at));
+        let ids: Vec<MachineId> = due.map(|(id, _)| id.clone()).take(50).collect();
+        if !ids.is_empty() {
+            self.return_out = ids.clone();
+            out.push(Effect::Cloud(CloudRequest::Return(ids)));
+        }
+    }
+
+    /// One write of the machines' keys: what was rented goes in, what is gone
+    /// goes out, what was given up moves on.
+    fn change_machines(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        leader: &Cond,
+        news: &BTreeMap<BlockId, BlockNews>,
+    ) -> Option<Effect> {
+        let blocks: Vec<BlockId> = mirror.holders.keys().copied().collect();
+        if blocks.is_empty() {
+            return None;
+        }
+        let mut recs: BTreeMap<BlockId, MachinesRec> = blocks
+            .iter()
+            .map(|b| {
+                (
+                    *b,
+                    mirror
+                        .machines
+                        .get(b)
+                        .map_or_else(Default::default, |(_, r)| (**r).clone()),
+                )
+            })
+            .collect();
+        let before = recs.clone();
+        let everywhere: BTreeSet<MachineId> =
+            recs.values().flat_map(|r| r.0.keys().cloned()).collect();
+        let (mut settled, mut ops) = (Vec::new(), Vec::new());
+        let (term, term_cond, term_op) = take_terms(mirror, 1);
+        let mut new_term = false;
+        for (name, (hire, state)) in &self.hires {
+            let Hire::Rented(ids) = state else { continue };
+            if settled.len() >= 3 {
+                break;
+            }
+            let block = if recs.contains_key(&hire.block) {
+                hire.block
+            } else {
+                blocks[0]
+            };
+            for id in ids.iter().filter(|id| !everywhere.contains(*id)) {
+                let rec = MachineRec {
+                    addr: self
+                        .list
+                        .get(id)
+                        .and_then(|l| l.addr.clone())
+                        .unwrap_or_default(),
+                    build: hire.build.clone(),
+                    zone: hire.zone.clone(),
+                    spot: hire.spot,
+                    term: Term(0),
+                    freed: None,
+                };
+                recs.get_mut(&block).map(|r| r.0.insert(id.clone(), rec));
+            }
+            settled.push(name.clone());
+            ops.push(store::delete(keys::hire(name)));
+        }
+        let mut removed = Vec::new();
+        for rec in recs.values_mut() {
+            rec.0.retain(|id, r| {
+                let gone = self.returned.contains(id);
+                if gone {
+                    removed.push(id.clone());
+                }
+                if let Some(addr) = self
+                    .list
+                    .get(id)
+                    .and_then(|l| l.addr.as_ref())
+                    .filter(|_| r.addr.is_empty())
+                {
+                    r.addr.clone_from(addr);
+                }
+                !gone
+            });
+        }
+        // Machines that nobody expected: a late rental, or there from the start.
+        let hired: BTreeSet<&MachineId> = self
+            .hires
+            .values()
+            .filter_map(|(_, h)| match h {
+                Hire::Rented(ids) => Some(ids),
+                _ => None,
+            })
+            .flatten()
+            .collect();
+        for m in self.list.values() {
+            let skip = everywhere.contains(&m.id)
+                || hired.contains(&m.id)
+                || self.returned.contains(&m.id)
+                || self.returning.contains_key(&m.id)
+                || m.standing == CloudStanding::Failed;
+            if skip {
+                continue;
+            }
+            let to = neediest(&recs, news, mirror, &m.build, &m.zone, m.spot)?;
+            tracing::info!(machine = %m.id, block = %to, "adopted");
+            let rec = MachineRec {
+                addr: m.addr.clone().unwrap_or_default(),
+                build: m.build.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                term: Term(0),
+                freed: None,
+            };
+            recs.get_mut(&to).map(|r| r.0.insert(m.id.clone(), rec));
+        }
+        // Machines given up for others: to where they are lacking, or back.
+        let freed: Vec<(BlockId, MachineId, MachineRec)> = recs
+            .iter()
+            .flat_map(|(b, r)| r.0.iter().map(move |(id, m)| (*b, id.clone(), m.clone())))
+            .filter(|(_, id, m)| m.freed == Some(Freed::Move) && !self.returning.contains_key(id))
+            .collect();
+        for (from, id, mut rec) in freed {
+            let to = neediest(&recs, news, mirror, &rec.build, &rec.zone, rec.spot).unwrap_or(from);
+            tracing::info!(machine = %id, %from, %to, "moved");
+            rec.freed = None;
+            // A term above all that any holder of it has used.
+            rec.term = term;
+            new_term = true;
+            recs.get_mut(&from).map(|r| r.0.remove(&id));
+            recs.get_mut(&to).map(|r| r.0.insert(id.clone(), rec));
+            self.credits.push((to, now + CREDIT, Res::default(), 0));
+        }
+        let mut conds = vec![leader.clone()];
+        let changed: Vec<BlockId> = blocks
+            .iter()
+            .copied()
+            .filter(|b| before.get(b) != recs.get(b))
+            .collect();
+        for b in changed
+            .iter()
+            .take(self.txn_ops.saturating_sub(ops.len() + 1))
+        {
+            conds.push(cond(keys::machines(*b), mirror.machines_stamp(*b)));
+            ops.push(store::set(keys::machines(*b), &recs[b]));
+        }
+        if ops.is_empty() {
+            return None;
+        }
+        if new_term {
+            conds.push(term_cond);
+            ops.push(term_op);
+        }
+        self.writing = true;
+        Some(Effect::Txn(
+            Write::Machines { settled, removed },
+            conds,
+            ops,
+        ))
+    }
+
+    fn ask_hires(&mut self, now: Micros, mirror: &Mirror, leader: &Cond, out: &mut Vec<Effect>) {
+        for (name, (hire, state)) in &mut self.hires {
+            match state {
+                Hire::Ask(at) if now >= *at => {
+                    out.push(Effect::Cloud(CloudRequest::Rent(
+                        name.clone(),
+                        hire.clone(),
+                    )));
+                    *state = Hire::Asked;
+                }
+                Hire::Refused => {
+                    *state = Hire::Recording;
+                    // Only if it is recorded; else there is nothing to drop.
+                    if let Some((stamp, _)) = mirror.hires.get(name) {
+                        let key = keys::hire(name);
+                        let conds = vec![leader.clone(), cond(key.clone(), *stamp)];
+                        out.push(Effect::Txn(
+                            Write::Drop { name: name.clone() },
+                            conds,
+                            vec![store::delete(key)],
+                        ));
+                    } else {
+                        *state = Hire::Refused;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn rent(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        leader: &Cond,
+        types: &[MachineType],
+        news: &BTreeMap<BlockId, BlockNews>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.credits.retain(|(_, until, ..)| *until > now);
+        let busy = self
+            .hires
+            .values()
+            .filter(|(_, h)| !matches!(h, Hire::Refused))
+            .count();
+        if busy >= MOST_HIRES_OUT || self.list.is_empty() && self.listed_at == now {
+            return;
+        }
+        for (b, n) in news {
+            if now.since(n.at) > Micros::from_millis(4_000) {
+                continue;
+            }
+            for need in &n.needs {
+                if self
+                    .hires
+                    .values()
+                    .filter(|(_, h)| !matches!(h, Hire::Refused))
+                    .count()
+                    >= MOST_HIRES_OUT
+                {
+                    return;
+                }
+                let coming: u32 = self
+                    .credits
+                    .iter()
+                    .filter(|(block, ..)| block == b)
+                    .map(|(_, _, cap, n)| need.request.times_in(cap) * n)
+                    .sum();
+                let count = need.count.saturating_sub(coming);
+                if count == 0 {
+                    continue;
+                }
+                let Some((t, zone, spot)) = self.cheapest(now, mirror, types, need) else {
+                    continue;
+                };
+                let per = need.request.times_in(&t.capacity()).max(1);
+                let hire = HireRec {
+                    build: t.name.clone(),
+                    zone,
+                    spot,
+                    count: count.div_ceil(per).min(MOST_PER_HIRE),
+                    block: *b,
+                };
+                self.counter += 1;
+                // The reign's stamp is never reused, so neither is the name.
+                let name = format!("r-{}-{}", self.reign, self.counter);
+                tracing::info!(%name, ?hire, "renting");
+                self.credits.push((
+                    *b,
+                    now + Micros::from_millis(8_000),
+                    t.capacity(),
+                    hire.count,
+                ));
+                let key = keys::hire(&name);
+                let conds = vec![leader.clone(), cond(key.clone(), Stamp(0))];
+                let ops = vec![store::set(key, &hire)];
+                out.push(Effect::Txn(
+                    Write::Hire {
+                        name: name.clone(),
+                        hire: hire.clone(),
+                    },
+                    conds,
+                    ops,
+                ));
+                self.hires.insert(name, (hire, Hire::Recording));
+            }
+        }
+    }
+
+    /// The cheapest offer per task that was not refused lately; among equals the
+    /// one that we have least of, so that one wave does not take all.
+    fn cheapest(
+        &self,
+        now: Micros,
+        mirror: &Mirror,
+        types: &[MachineType],
+        need: &Need,
+    ) -> Option<(MachineType, String, bool)> {
+        let mut best: Option<(f64, MachineType, String, bool)> = None;
+        for t in types {
+            let per = need.request.times_in(&t.capacity());
+            for zone in t.zones.iter().filter(|_| per > 0) {
+                for spot in [true, false] {
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    let open = self.backoff.get(&offer).is_none_or(|b| now >= b.until);
+                    let asked = self.hires.values().any(|(h, s)| {
+                        h.build == t.name
+                            && h.zone == *zone
+                            && h.spot == spot
+                            && !matches!(s, Hire::Refused)
+                    });
+                    if !open || asked || !need.fits(&t.name, zone, spot, &t.capacity()) {
+                        continue;
+                    }
+                    let have = mirror
+                        .machines
+                        .values()
+                        .flat_map(|(_, r)| r.0.values())
+                        .filter(|m| m.build == t.name && m.zone == *zone && m.spot == spot)
+                        .count();
+                    let price = if spot { t.spot_price } else { t.price } / f64::from(per)
+                        * (1.0 + 0.01 * have as f64);
+                    if best.as_ref().is_none_or(|(p, ..)| price < *p) {
+                        best = Some((price, t.clone(), zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        best.map(|(_, t, z, s)| (t, z, s))
+    }
+
+    pub fn cloud(&mut self, now: Micros, request: CloudRequest, reply: CloudReply) {
+        match (request, reply) {
+            (CloudRequest::List, reply) => {
+                self.listing = false;
+                if let CloudReply::List(list) = reply {
+                    self.list = list.into_iter().map(|m| (m.id.clone(), m)).collect();
+                    // A list may be older than the one before; what was returned may
+                    // show up again for a while and is not to be adopted.
+                    if self.returned.len() > 2000 {
+                        self.returned.retain(|id| self.list.contains_key(id));
+                    }
+                }
+            }
+            (CloudRequest::Rent(name, hire), reply) => {
+                let Some((_, state)) = self.hires.get_mut(&name) else {
+                    return;
+                };
+                let offer = (hire.build.clone(), hire.zone.clone(), hire.spot);
+                match reply {
+                    CloudReply::Rented(ids) => {
+                        if (ids.len() as u32) < hire.count {
+                            self.backoff.insert(
+                                offer,
+                                Backoff {
+                                    until: now + Micros::from_millis(15_000),
+                                    times: 1,
+                                },
+                            );
+                        } else {
+                            self.backoff.remove(&offer);
+                        }
+                        tracing::info!(%name, got = ids.len(), "rented");
+                        *state = Hire::Rented(ids);
+                    }
+                    CloudReply::NoCapacity => {
+                        let b = self.backoff.entry(offer).or_default();
+                        b.times += 1;
+                        b.until = now + Micros::from_millis(5_000 << b.times.min(3));
+                        *state = Hire::Refused;
+                        if let Some(i) = self
+                            .credits
+                            .iter()
+                            .position(|c| c.0 == hire.block && c.3 == hire.count)
+                        {
+                            self.credits.remove(i);
+                        }
+                    }
+                    // It may have been carried out: only the same name may ask again.
+                    _ => *state = Hire::Ask(now + Micros::from_millis(1_500)),
+                }
+            }
+            (CloudRequest::Return(ids), reply) => {
+                self.return_out.clear();
+                for id in ids {
+                    if reply == CloudReply::Returned {
+                        self.returning.remove(&id);
+                        self.list.remove(&id);
+                        self.returned.insert(id);
+                    } else if let Some(at) = self.returning.get_mut(&id) {
+                        *at = Some(now + Micros::from_millis(1_000));
+                    }
+                }
+            }
+            (CloudRequest::Types, _) => {}
+        }
+    }
+
+    pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
+        match write {
+            Write::Machines { settled, .. } => {
+                self.writing = false;
+                if let Reply::Committed(stamp) = reply {
+                    self.wait_for = *stamp;
+                    for name in settled {
+                        self.hires.remove(&name);
+                    }
+                }
+            }
+            Write::Hire { name, .. } => {
+                let Some((_, state)) = self.hires.get_mut(&name) else {
+                    return;
+                };
+                match reply {
+                    Reply::Committed(_) => *state = Hire::Ask(now),
+                    // Nothing was asked of the cloud under this name. Should the record
+                    // still be written, it is found and carried out then.
+                    _ => {
+                        self.hires.remove(&name);
+                    }
+                }
+            }
+            Write::Drop { name } => {
+                if let Reply::Committed(stamp) = reply {
+                    self.wait_for = self.wait_for.max(*stamp);
+                    self.hires.remove(&name);
+                } else if let Some((_, state)) = self.hires.get_mut(&name) {
+                    *state = Hire::Refused;
+                }
+            }
+        }
+    }
+}
+
+/// The block that lacks a machine like this most, by what its holder reports;
+/// without such a block, the one with the least.
+fn neediest(
+    recs: &BTreeMap<BlockId, MachinesRec>,
+    news: &BTreeMap<BlockId, BlockNews>,
+    mirror: &Mirror,
+    build: &str,
+    zone: &str,
+    spot: bool,
+) -> Option<BlockId> {
+    let types = mirror
+        .types
+        .as_ref()
+        .map(|(_, t)| t.as_slice())
+        .unwrap_or_default();
+    let capacity = types
+        .iter()
+        .find(|t| t.name == build)
+        .map_or(Res::default(), MachineType::capacity);
+    let lacking = |b: &BlockId| {
+        let needs = news.get(b).map_or(&[][..], |n| n.needs.as_slice());
+        let fitting = needs
+            .iter()
+            .filter(|n| n.fits(build, zone, spot, &capacity));
+        fitting
+            .map(|n| n.request.cores * f64::from(n.count))
+            .sum::<f64>()
+    };
+    let cores = |r: &MachinesRec| -> f64 {
+        r.0.values()
+            .filter_map(|m| types.iter().find(|t| t.name == m.build))
+            .map(|t| t.cores)
+            .sum()
+    };
+    let weight = |(b, r): &(&BlockId, &MachinesRec)| (lacking(b), -cores(r));
+    recs.iter()
+        .max_by(|a, b| {
+            let (a, b) = (weight(a), weight(b));
+            a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+        .map(|(b, _)| *b)
+}
+
+pub type Types = Rc<Vec<MachineType>>;
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,163 @@
+//! Names and numbers that must not be mixed up.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl From<String> for $name {
+            fn from(s: String) -> Self {
+                $name(s.into())
+            }
+        }
+        impl From<&str> for $name {
+            fn from(s: &str) -> Self {
+                $name(s.into())
+            }
+        }
+        impl From<$name> for String {
+            fn from(n: $name) -> String {
+                n.0.to_string()
+            }
+        }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// A job's id, chosen by its user.
+    JobId
+);
+name!(
+    /// A machine's name, given by the cloud.
+    MachineId
+);
+name!(
+    /// A controller's name.
+    Label
+);
+number!(
+    /// A fencing term: every grant gets a new one, and numbers are never reused.
+    Term
+);
+number!(
+    /// The revision at which a key of the state service last changed; 0: no such key.
+    Stamp
+);
+number!(
+    /// What a worker compares: a machine's term above, the holder's own epoch below.
+    Token
+);
+number!(
+    /// An attempt to run a task.
+    Attempt
+);
+number!(
+    /// A lease of the state service.
+    Tenure
+);
+number!(
+    /// A block of machines and the teams whose work runs on them.
+    BlockId
+);
+
+/// How many epochs a holder has below each term.
+const EPOCH_BITS: u32 = 20;
+
+impl Token {
+    /// Epochs let a holder fence its own delayed commands without asking anyone:
+    /// its term stays above every older one whatever the epoch.
+    pub fn of(term: Term, epoch: u64) -> Token {
+        Token((term.0 << EPOCH_BITS) | epoch.min((1 << EPOCH_BITS) - 1))
+    }
+}
+
+impl Attempt {
+    /// Rises without a write to the store and never repeats: terms never do.
+    pub fn of(term: Term, counter: u64) -> Attempt {
+        Attempt((term.0 << EPOCH_BITS) + counter)
+    }
+}
+
+impl JobId {
+    /// `j-` and digits, as users choose them.
+    pub fn well_formed(&self) -> bool {
+        self.0
+            .strip_prefix("j-")
+            .is_some_and(|d| (1..=40).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+    }
+}
+
+/// One task of a job, in the wire's form `j-000412/3`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(s: &str) -> Option<TaskId> {
+        let (job, index) = s.rsplit_once('/')?;
+        Some(TaskId {
+            job: job.into(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_higher_term_beats_every_epoch_of_a_lower_one() {
+        assert!(Token::of(Term(4), 0) > Token::of(Term(3), u64::MAX));
+        assert!(Token::of(Term(3), 1) > Token::of(Term(3), 0));
+    }
+
+    #[test]
+    fn ids_have_one_form() {
+        assert!(JobId::from("j-000412").well_formed());
+        for bad in ["", "j-", "x-1", "j-1a", "j-1/2", "j- 1"] {
+            assert!(!JobId::from(bad).well_formed(), "{bad}");
+        }
+        assert_eq!(TaskId::parse("j-1/7").map(|t| t.index), Some(7));
+        assert_eq!(TaskId::parse("j-1"), None);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! rockdeal: a cluster scheduler that places waiting work lightest team first
+//! inside fenced blocks of machines that a leader leases to controllers.
+//!
+//! Every slice keeps its decisions in plain, synchronous state that is told
+//! the time; only the thin drivers around them know sockets and clocks.
+
+pub mod api;
+pub mod blocks;
+pub mod clock;
+pub mod controller;
+pub mod fairness;
+pub mod fleet;
+pub mod ids;
+pub mod jobs;
+pub mod mesh;
+pub mod placement;
+pub mod policy;
+pub mod settings;
+pub mod store;
+pub mod workers;
--- /dev/null
+++ b/src/mesh/mod.rs
@@ -0,0 +1,151 @@
+//! Between controllers: frames of postcard over TCP, versioned.
+//!
+//! News only speeds things up. Nothing that a rule depends on is carried here,
+//! so a lost, late or repeated frame does no harm.
+
+use crate::clock::Micros;
+use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::placement::Need;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Frames of another version are skipped, so that versions can meet in a roll.
+const VERSION: u16 = 1;
+
+/// What a holder tells of a block.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BlockNews {
+    /// When it was received, by the receiver's clock.
+    #[serde(skip)]
+    pub at: Micros,
+    pub block: BlockId,
+    pub term: Term,
+    pub needs: Vec<Need>,
+    pub dead: Vec<MachineId>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub from: Label,
+    pub incarnation: Stamp,
+    pub store_ok: bool,
+    /// False: it hears none of its machines.
+    pub hears_workers: bool,
+    pub blocks: Vec<BlockNews>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Frame<T> {
+    version: u16,
+    body: T,
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(256 * 1024)
+        .new_codec()
+}
+
+pub fn encode(news: &News) -> Option<Bytes> {
+    postcard::to_stdvec(&Frame {
+        version: VERSION,
+        body: news,
+    })
+    .ok()
+    .map(Bytes::from)
+}
+
+pub fn decode(frame: &[u8]) -> Option<News> {
+    let (version, rest) = postcard::take_from_bytes::<u16>(frame).ok()?;
+    if version != VERSION {
+        return None;
+    }
+    postcard::from_bytes(rest).ok()
+}
+
+/// Sends to one peer, connecting again as needed. Only the newest frames matter:
+/// the queue is short and what does not fit is dropped by the sender.
+pub async fn dial(addr: SocketAddrV4, mut frames: mpsc::Receiver<Bytes>) {
+    loop {
+        let connect = tokio::time::timeout(Duration::from_secs(2), TcpStream::connect(addr)).await;
+        if let Ok(Ok(stream)) = connect {
+            let _ = stream.set_nodelay(true);
+            let mut framed = Framed::new(stream, codec());
+            while let Some(frame) = frames.recv().await {
+                let sent = tokio::time::timeout(Duration::from_secs(2), framed.send(frame)).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    break;
+                }
+            }
+        }
+        if frames.is_closed() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        while frames.try_recv().is_ok() {}
+    }
+}
+
+/// Takes peers' frames in and hands them on.
+pub async fn listen(listener: TcpListener, most: usize, hand_on: mpsc::Sender<News>) {
+    let room = std::sync::Arc::new(tokio::sync::Semaphore::new(most));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        let hand_on = hand_on.clone();
+        tokio::task::spawn_local(async move {
+            let _permit = permit;
+            let mut framed = Framed::new(stream, codec());
+            // A peer that says nothing for long is gone, or behind a cut.
+            while let Ok(Some(Ok(frame))) =
+                tokio::time::timeout(Duration::from_secs(20), framed.next()).await
+            {
+                if let Some(news) = decode(&frame)
+                    && hand_on.send(news).await.is_err()
+                {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_round_trip_and_other_versions_are_skipped() {
+        let news = News {
+            from: "c0".into(),
+            incarnation: Stamp(3),
+            store_ok: true,
+            hears_workers: true,
+            blocks: vec![BlockNews {
+                at: Micros(0),
+                block: BlockId(1),
+                term: Term(4),
+                needs: vec![],
+                dead: vec!["m-1".into()],
+            }],
+        };
+        let frame = encode(&news).expect("encodes");
+        assert_eq!(decode(&frame), Some(news));
+        let mut other = frame.to_vec();
+        other[0] = 9;
+        assert_eq!(decode(&other), None);
+        assert_eq!(decode(&frame[..5]), None);
+        assert_eq!(decode(b""), None);
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,412 @@
+//! Which waiting task goes where: lightest team first, like tasks as a class.
+
+use crate::clock::Micros;
+use crate::fairness::{self, Res};
+use crate::ids::{JobId, MachineId};
+use crate::jobs::{Job, JobDesc, Rank};
+use crate::settings::Settings;
+use crate::workers::{Leaving, Machine, Phase};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A decision: this task on this machine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    pub job: JobId,
+    pub index: u32,
+    pub machine: MachineId,
+}
+
+/// Tasks that are decided alike: if one finds no room, none does.
+#[derive(Debug, Clone, PartialEq, PartialOrd)]
+struct Shape<'a> {
+    request: [f64; 3],
+    builds: Option<&'a [String]>,
+    zone: Option<&'a str>,
+    spot: bool,
+    image: &'a str,
+    /// Jobs bound to zones by their own tasks are their own class.
+    own: Option<&'a JobId>,
+}
+
+fn shape(d: &JobDesc) -> Shape<'_> {
+    Shape {
+        request: [d.cores, d.cards, d.mem],
+        builds: d.builds.as_deref(),
+        zone: d.zone.as_deref(),
+        spot: d.spot,
+        image: &d.image,
+        own: (d.one_zone || d.apart).then_some(&d.id),
+    }
+}
+
+/// What placement may look at.
+pub struct Scene<'a> {
+    pub settings: &'a Settings,
+    /// All machines of all blocks.
+    pub fleet: Res,
+    pub now: Micros,
+    pub day: Micros,
+    pub jobs: &'a BTreeMap<JobId, Job>,
+    pub machines: &'a BTreeMap<MachineId, Machine>,
+    pub teams: &'a [usize],
+}
+
+struct Room<'a> {
+    id: &'a MachineId,
+    machine: &'a Machine,
+    free: Res,
+    summed: Res,
+    /// Summed requests of each team that has something here.
+    teams: BTreeMap<usize, Res>,
+    images: BTreeSet<&'a str>,
+    held: bool,
+}
+
+pub struct Team {
+    pub heaviness: f64,
+    pub used: Res,
+}
+
+/// Heaviness of the block's teams, and what counts against their limits.
+pub fn weigh(scene: &Scene<'_>) -> BTreeMap<usize, Team> {
+    let all = scene.settings.guarantees();
+    let mut teams: BTreeMap<usize, Team> = BTreeMap::new();
+    for &t in scene.teams {
+        let guarantee = scene.settings.platform.teams[t].guarantee();
+        let quota = fairness::actual_quota(guarantee, scene.fleet, all);
+        teams.insert(
+            t,
+            Team {
+                heaviness: -fairness::s(quota, scene.fleet),
+                used: Res::default(),
+            },
+        );
+    }
+    for m in scene.machines.values() {
+        if m.unsettled {
+            // After a take-over, what is on a silent machine counts as the worst
+            // case for each team, or its limit and its heaviness would be off.
+            for team in teams.values_mut() {
+                team.used += m.capacity;
+                team.heaviness += fairness::s(m.capacity, scene.fleet) / scene.teams.len() as f64;
+            }
+            continue;
+        }
+        let (summed, by_team) = requests(m);
+        for (t, request) in by_team {
+            if let Some(team) = teams.get_mut(&t) {
+                team.used += request;
+                team.heaviness += fairness::machine_share(request, m.capacity, summed, scene.fleet);
+            }
+        }
+    }
+    teams
+}
+
+fn requests(m: &Machine) -> (Res, BTreeMap<usize, Res>) {
+    let (mut summed, mut by_team) = (Res::default(), BTreeMap::<usize, Res>::new());
+    for t in m.tries.values().filter(|t| t.phase != Phase::Exited) {
+        summed += t.request;
+        if let Some(team) = t.team {
+            *by_team.entry(team).or_default() += t.request;
+        }
+    }
+    (summed, by_team)
+}
+
+/// A machine that tasks may be sent to now.
+pub fn usable(m: &Machine, now: Micros, heard_within: Micros) -> bool {
+    !m.draining
+        && m.leaving == Leaving::No
+        && !m.unsettled
+        && m.taken_at.is_none()
+        && m.last_heard.is_some_and(|h| now.since(h) < heard_within)
+}
+
+/// Whether a job's tasks may be launched at all now.
+pub fn launchable(job: &Job, now: Micros, rebuilding: Option<crate::ids::Term>) -> bool {
+    // While machines of the block have not reported since the take-over, an old
+    // job's tasks may run there; one born under this term has no old attempts.
+    let old = rebuilding.is_some_and(|term| job.born < term);
+    !old && !job.ended && !job.waiting.is_empty() && now >= job.not_before
+}
+
+/// Decides what to start now, best first.
+pub fn place(
+    scene: &Scene<'_>,
+    rebuilding: Option<crate::ids::Term>,
+    heard_within: Micros,
+    most: usize,
+) -> Vec<Choice> {
+    let mut queues: BTreeMap<usize, Vec<(&JobId, &Job)>> = BTreeMap::new();
+    for (id, job) in scene.jobs {
+        if launchable(job, scene.now, rebuilding) {
+            queues.entry(job.team).or_default().push((id, job));
+        }
+    }
+    if queues.is_empty() {
+        return Vec::new();
+    }
+    for queue in queues.values_mut() {
+        // Inside a team: rank, then slack, then age. Popped from the end.
+        queue.sort_by_key(|(_, j)| (j.desc.rank, -j.slack(scene.day), std::cmp::Reverse(j.at)));
+    }
+    let mut teams = weigh(scene);
+    let mut rooms: Vec<Room<'_>> = scene
+        .machines
+        .iter()
+        .filter(|(_, m)| usable(m, scene.now, heard_within))
+        .map(|(id, machine)| {
+            let (summed, by_team) = requests(machine);
+            let mut images: BTreeSet<&str> = machine.images.iter().map(String::as_str).collect();
+            images.extend(machine.tries.values().map(|t| t.image.as_str()));
+            Room {
+                id,
+                machine,
+                free: machine.capacity - summed,
+                summed,
+                teams: by_team,
+                images,
+                held: false,
+            }
+        })
+        .collect();
+    let mut choices = Vec::new();
+    let mut taken: BTreeMap<&JobId, u32> = BTreeMap::new();
+    let mut zones: BTreeMap<&JobId, BTreeMap<&str, u32>> = BTreeMap::new();
+    let mut hopeless: Vec<Shape<'_>> = Vec::new();
+    let mut held = false;
+    while choices.len() < most {
+        // Lightest team first, among those with something left to decide.
+        let lightest = queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .min_by(|a, b| teams[a.0].heaviness.total_cmp(&teams[b.0].heaviness))
+            .map(|(t, _)| *t);
+        let Some(t) = lightest else { break };
+        let queue = queues.get_mut(&t).expect("chosen from the queues");
+        let (id, job) = *queue.last().expect("not empty");
+        let desc = &job.desc;
+        let n = taken.get(id).copied().unwrap_or(0);
+        if n >= job.waiting.len() {
+            queue.pop();
+            continue;
+        }
+        let team = teams.get_mut(&t).expect("a team of the block");
+        let mut after = team.used;
+        after += desc.request();
+        let limited = !after.fits_in(&scene.settings.platform.teams[t].limit());
+        if limited || hopeless.contains(&shape(desc)) {
+            queue.pop();
+            continue;
+        }
+        let by_zone = zones
+            .entry(id)
+            .or_insert_with(|| zones_of(job, scene.machines));
+        let request = desc.request();
+        let fitting = |r: &&mut Room<'_>| {
+            let m = r.machine;
+            desc.allows(&m.build, &m.zone, m.spot)
+                && zone_allowed(desc, by_zone, &m.zone)
+                // A job that failed on a machine tries others first.
+                && !m.failed_jobs.contains(id)
+        };
+        let best = rooms
+            .iter_mut()
+            .filter(fitting)
+            .filter(|r| !r.held && request.fits_in(&r.free))
+            .max_by(|a, b| worth(a, desc).total_cmp(&worth(b, desc)));
+        let Some(room) = best else {
+            hopeless.push(shape(desc));
+            if !held {
+                // A head job that fits nowhere holds freed room on the machine
+                // where it will fit soonest, or small tasks would always take it.
+                held = true;
+                let soonest = rooms
+                    .iter_mut()
+                    .filter(fitting)
+                    .filter(|r| request.fits_in(&r.machine.capacity))
+                    .min_by(|a, b| missing(a, &request).total_cmp(&missing(b, &request)));
+                if let Some(room) = soonest {
+                    room.held = true;
+                }
+            }
+            queue.pop();
+            continue;
+        };
+        let Some(index) = nth(job, n) else {
+            queue.pop();
+            continue;
+        };
+        *by_zone.entry(room.machine.zone.as_str()).or_default() += 1;
+        *taken.entry(id).or_default() += 1;
+        let fleet = scene.fleet;
+        let cap = room.machine.capacity;
+        for (other, share) in &room.teams {
+            if let Some(o) = teams.get_mut(other) {
+                o.heaviness -= fairness::machine_share(*share, cap, room.summed, fleet);
+            }
+        }
+        room.free -= request;
+        room.summed += request;
+        *room.teams.entry(t).or_default() += request;
+        room.images.insert(&desc.image);
+        for (other, share) in &room.teams {
+            if let Some(o) = teams.get_mut(other) {
+                o.heaviness += fairness::machine_share(*share, cap, room.summed, fleet);
+            }
+        }
+        teams.get_mut(&t).expect("a team of the block").used = after;
+        choices.push(Choice {
+            job: id.clone(),
+            index,
+            machine: room.id.clone(),
+        });
+    }
+    choices
+}
+
+/// The task that comes `n` places after the first that waits.
+fn nth(job: &Job, n: u32) -> Option<u32> {
+    let mut left = n;
+    for (a, b) in job.waiting.pairs() {
+        if left < b - a {
+            return Some(a + left);
+        }
+        left -= b - a;
+    }
+    None
+}
+
+fn worth(r: &Room<'_>, d: &JobDesc) -> f64 {
+    let cached = if r.images.contains(d.image.as_str()) {
+        2.0
+    } else {
+        0.0
+    };
+    // Best fit: what stays whole can take a large task.
+    cached + d.request().share_of(&r.free)
+}
+
+fn missing(r: &Room<'_>, request: &Res) -> f64 {
+    let lacking = *request - r.free;
+    Res::new(
+        lacking.cores.max(0.0),
+        lacking.cards.max(0.0),
+        lacking.mem.max(0.0),
+    )
+    .share_of(&r.machine.capacity)
+}
+
+/// How many of a job's tasks are, or may be, in each zone.
+fn zones_of<'a>(job: &Job, machines: &'a BTreeMap<MachineId, Machine>) -> BTreeMap<&'a str, u32> {
+    let mut zones = BTreeMap::new();
+    if job.desc.one_zone || job.desc.apart {
+        for m in machines.values() {
+            // Attempts, not only known tasks: one being stopped is still there.
+            let here = m
+                .tries
+                .iter()
+                .filter(|((t, _), a)| t.job == job.desc.id && a.phase != Phase::Exited);
+            let n = here.count() as u32;
+            if n > 0 {
+                *zones.entry(m.zone.as_str()).or_default() += n;
+            }
+        }
+    }
+    zones
+}
+
+fn zone_allowed(d: &JobDesc, zones: &BTreeMap<&str, u32>, zone: &str) -> bool {
+    if d.one_zone && zones.iter().any(|(z, n)| *z != zone && *n > 0) {
+        return false;
+    }
+    !d.apart || zones.get(zone).copied().unwrap_or(0) < d.tasks.div_ceil(2)
+}
+
+/// Waiting work of one class, for renting and for moving machines.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Need {
+    pub request: Res,
+    pub builds: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    /// Tasks' worth of room that is missing.
+    pub count: u32,
+    pub urgent: bool,
+}
+
+impl Need {
+    pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Res) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self
+                .builds
+                .as_ref()
+                .is_none_or(|b| b.iter().any(|b| b == build))
+            && self.request.fits_in(capacity)
+    }
+}
+
+/// The room that the block's waiting work still lacks, after what its machines
+/// have free and what is booting.
+pub fn needs(scene: &Scene<'_>, coming: &[(Res, &str, &str, bool)], horizon: Micros) -> Vec<Need> {
+    let teams = weigh(scene);
+    let mut left: BTreeMap<usize, Res> = BTreeMap::new();
+    for (&t, team) in &teams {
+        left.insert(t, scene.settings.platform.teams[t].limit() - team.used);
+    }
+    let mut jobs: Vec<&Job> = scene
+        .jobs
+        .values()
+        .filter(|j| !j.ended && !j.waiting.is_empty())
+        .collect();
+    jobs.sort_by_key(|j| (std::cmp::Reverse(j.desc.rank), j.slack(scene.day)));
+    let mut rooms: Vec<(Res, &str, &str, bool)> = coming.to_vec();
+    let mut needs: Vec<Need> = Vec::new();
+    for job in jobs {
+        let d = &job.desc;
+        let request = d.request();
+        let room = left
+            .get_mut(&job.team)
+            .map_or(0, |l| request.times_in(l).min(job.waiting.len()));
+        // Short tasks run one after another in the time that a boot takes.
+        let estimate = Micros::from_secs(d.estimate_s).0 as f64;
+        let part = (estimate / horizon.0.max(1) as f64).min(1.0);
+        let mut wanted = (f64::from(room) * part).ceil() as u32;
+        if let Some(l) = left.get_mut(&job.team) {
+            *l -= request.scale(f64::from(wanted));
+        }
+        for (free, build, zone, spot) in &mut rooms {
+            if wanted == 0 {
+                break;
+            }
+            if d.allows(build, zone, *spot) {
+                let n = request.times_in(free).min(wanted);
+                *free -= request.scale(f64::from(n));
+                wanted -= n;
+            }
+        }
+        if wanted == 0 {
+            continue;
+        }
+        let need = Need {
+            request,
+            builds: d.builds.clone(),
+            zone: d.zone.clone(),
+            spot: d.spot,
+            count: wanted,
+            urgent: d.rank >= Rank::High,
+        };
+        match needs.iter_mut().find(|n| {
+            Need {
+                count: need.count,
+                ..(*n).clone()
+            } == need
+        }) {
+            Some(n) => n.count += need.count,
+            None => needs.push(need),
+        }
+    }
+    needs
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,294 @@
+//! The platform's settings file: read, checked, and refused with one clear line.
+
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::ids::Label;
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("can't read settings file {path}: {why}")]
+    Unreadable { path: String, why: std::io::Error },
+    #[error("settings file {path} is malformed: {why}")]
+    Malformed {
+        path: String,
+        why: serde_json::Error,
+    },
+    #[error("settings file {path}: {why}")]
+    Contradictory { path: String, why: String },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Seed {
+    pub label: Label,
+    pub addr: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    pub fn guarantee(&self) -> Res {
+        Res::new(self.cpus, self.gpus, 0.0)
+    }
+
+    /// The limit on what its tasks use; memory is not limited.
+    pub fn limit(&self) -> Res {
+        Res::new(self.cpus_max, self.gpus_max, f64::INFINITY)
+    }
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerTimes {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub sockets: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub initial_size: usize,
+    pub teams: Vec<Team>,
+    pub workers: WorkerTimes,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub label: Label,
+    pub bind: SocketAddrV4,
+    pub mesh_addr: SocketAddrV4,
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    pub endpoints: Endpoints,
+    #[serde(rename = "settings")]
+    pub platform: Platform,
+}
+
+/// Two steady clocks may drift apart by 0.05%; twice that is allowed for.
+const DRIFT: f64 = 0.001;
+/// Beyond the drift: the store ends a lease up to 100 ms late, commands travel,
+/// and a controller short of processor time may act late.
+const MARGIN_S: f64 = 3.0;
+/// The design's starting length of a block's lease.
+const LEASE_S: f64 = 20.0;
+/// Below this, renewals over a busy store can't keep a lease up.
+const LEAST_LEASE_S: f64 = 4.0;
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|why| SettingsError::Unreadable {
+            path: name.clone(),
+            why,
+        })?;
+        let settings: Settings =
+            serde_json::from_str(&text).map_err(|why| SettingsError::Malformed {
+                path: name.clone(),
+                why,
+            })?;
+        settings
+            .check()
+            .map_err(|why| SettingsError::Contradictory { path: name, why })?;
+        Ok(settings)
+    }
+
+    pub fn check(&self) -> Result<(), String> {
+        let p = &self.platform;
+        let fail = |why: String| Err(why);
+        if self.label.as_str().is_empty() || self.label.as_str().contains([' ', '/']) {
+            return fail("label is empty, or has a space or a slash".into());
+        }
+        if self.bind == self.mesh_addr {
+            return fail("bind and mesh_addr are the same".into());
+        }
+        if self.seeds.iter().any(|s| s.label == self.label) {
+            return fail(format!("seeds name this controller itself, {}", self.label));
+        }
+        if p.initial_size == 0 || p.initial_size > 1000 {
+            return fail("initial_size must be from 1 to 1000".into());
+        }
+        if p.teams.is_empty() {
+            return fail("teams is empty".into());
+        }
+        for (i, t) in p.teams.iter().enumerate() {
+            let amounts = [t.cpus, t.cpus_max, t.gpus, t.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return fail(format!(
+                    "team {}: amounts must be finite and not negative",
+                    t.name
+                ));
+            }
+            if t.cpus > t.cpus_max || t.gpus > t.gpus_max {
+                return fail(format!(
+                    "team {}: more is guaranteed than its limit allows",
+                    t.name
+                ));
+            }
+            if p.teams[..i].iter().any(|o| o.name == t.name) {
+                return fail(format!("team {} is listed twice", t.name));
+            }
+        }
+        let positive = [
+            ("workers.report_s", p.workers.report_s),
+            ("workers.lease_s", p.workers.lease_s),
+            ("workers.cancel_s", p.workers.cancel_s),
+            ("state.rps", p.state.rps),
+            ("state.write_rps", p.state.write_rps),
+            ("state.value_kb", p.state.value_kb),
+            ("cloud.rps", p.cloud.rps),
+            ("cloud.list_lag_s", p.cloud.list_lag_s),
+        ];
+        for (name, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return fail(format!("{name} must be above 0"));
+            }
+        }
+        if p.state.txn_ops < 4 {
+            return fail("state.txn_ops must be at least 4".into());
+        }
+        if p.limits.sockets < 64 {
+            return fail("limits.sockets must be at least 64".into());
+        }
+        // A cancelled task on a machine that is cut off ends only after both the
+        // holder's and the worker's lease have run out.
+        let room = p.workers.cancel_s - p.workers.lease_s;
+        if self.raw_lease_s() < LEAST_LEASE_S {
+            return fail(format!(
+                "workers.cancel_s leaves {room} s beyond workers.lease_s, which is no room for a lease \
+                 (at least {} s)",
+                LEAST_LEASE_S + MARGIN_S
+            ));
+        }
+        Ok(())
+    }
+
+    fn raw_lease_s(&self) -> f64 {
+        let w = &self.platform.workers;
+        LEASE_S.min(w.cancel_s - w.lease_s * (1.0 + DRIFT) - MARGIN_S)
+    }
+
+    /// What a controller asks of the state service for its member lease.
+    pub fn lease(&self) -> Micros {
+        Micros::from_secs(self.raw_lease_s())
+    }
+
+    /// How long after it sent a renewal a controller may still act.
+    pub fn act_for(&self) -> Micros {
+        Micros::from_secs(self.raw_lease_s() * (1.0 - DRIFT) - 1.0)
+    }
+
+    /// After this time without an answer, a worker has surely ended its tasks.
+    pub fn worker_over(&self) -> Micros {
+        Micros::from_secs(self.platform.workers.lease_s * (1.0 + DRIFT) + 1.0)
+    }
+
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.platform.teams.iter().position(|t| t.name == name)
+    }
+
+    pub fn guarantees(&self) -> Res {
+        let mut all = Res::default();
+        for t in &self.platform.teams {
+            all += t.guarantee();
+        }
+        all
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn example() -> serde_json::Value {
+        serde_json::json!({
+            "label": "c0", "area": "x", "bind": "127.0.0.1:9000", "mesh_addr": "127.0.0.1:9001",
+            "seeds": [{"label": "c1", "area": "y", "addr": "127.0.0.1:9003"}],
+            "endpoints": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
+            "unknown": {"is": "ignored"},
+            "settings": {
+                "initial_size": 2,
+                "zones": ["x", "y"],
+                "teams": [
+                    {"name": "red", "cpus": 8.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0},
+                    {"name": "blue", "cpus": 8.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0}
+                ],
+                "workers": {"report_s": 3.0, "lease_s": 30.0, "cancel_s": 60.0},
+                "state": {"rps": 100.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+                "cloud": {"rps": 4.0, "list_lag_s": 4.0},
+                "limits": {"cpu_share": 0.1, "ram_mb": 100.0, "sockets": 1000},
+                "clock_off_ms": 5.0
+            }
+        })
+    }
+
+    pub fn settings() -> Settings {
+        serde_json::from_value(example()).expect("the example is well formed")
+    }
+
+    #[test]
+    fn the_example_is_accepted_and_unknown_fields_are_ignored() {
+        assert_eq!(settings().check(), Ok(()));
+        assert_eq!(settings().lease(), Micros::from_secs(20.0));
+    }
+
+    #[test]
+    fn a_lease_fits_under_the_cancellation_time_or_is_refused() {
+        let mut s = settings();
+        s.platform.workers.cancel_s = 45.0;
+        assert!(s.check().is_ok());
+        // 45 - 30.03 - 3: the holder's and the worker's lease both fit.
+        assert_eq!(s.lease(), Micros(11_970_000));
+        s.platform.workers.cancel_s = 36.0;
+        assert!(s.check().unwrap_err().contains("no room for a lease"));
+    }
+
+    #[test]
+    fn contradictions_are_named() {
+        let mut s = settings();
+        s.platform.teams[0].cpus = 17.0;
+        assert!(s.check().unwrap_err().contains("red"));
+        let mut s = settings();
+        s.platform.teams[1].name = "red".into();
+        assert!(s.check().unwrap_err().contains("twice"));
+    }
+}
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,291 @@
+//! HTTP to the state service, within this controller's share of its budget.
+
+use super::{Change, Cond, Op, ROOT, Reply, Request, Row, Urgency};
+use crate::clock::{Micros, Steady};
+use crate::controller::http::{Failure, Pool};
+use crate::ids::{Stamp, Tenure};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A bucket that refills at a steady rate; burst: one second's worth.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    pub fn new(rate: f64, now: Micros) -> Self {
+        Bucket {
+            rate,
+            level: rate,
+            at: now,
+        }
+    }
+
+    fn refill(&mut self, now: Micros) {
+        self.level =
+            (self.level + now.since(self.at).as_secs() * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+
+    /// Takes `n` if that leaves `keep` (a share of the burst) for others.
+    pub fn take(&mut self, now: Micros, n: f64, keep: f64) -> bool {
+        self.refill(now);
+        // More than a whole bucket may be taken at once, as a debt.
+        if self.level - n.min(self.rate) < keep * self.rate {
+            return false;
+        }
+        self.level -= n;
+        true
+    }
+}
+
+struct Budget {
+    requests: Bucket,
+    writes: Bucket,
+}
+
+/// A handle for asking the state service; cheap to clone.
+#[derive(Clone)]
+pub struct Store {
+    pool: Rc<Pool>,
+    budget: Rc<RefCell<Budget>>,
+    clock: Steady,
+}
+
+/// Nobody waits longer than this for the store.
+const DEADLINE: Duration = Duration::from_millis(2500);
+/// A watch answers within this if nothing changes.
+const WATCH_MS: u64 = 2000;
+
+#[derive(Deserialize)]
+struct Ledger {
+    ledger: u64,
+}
+#[derive(Deserialize)]
+struct Failed {
+    failed: Vec<String>,
+}
+#[derive(Deserialize)]
+struct Leased {
+    tenure: Tenure,
+}
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+    #[serde(default)]
+    more: bool,
+    ledger: u64,
+}
+#[derive(Deserialize)]
+struct Log {
+    ledger: u64,
+    log: Vec<Change>,
+}
+
+impl Store {
+    /// `share` of the service's limits is this controller's.
+    pub fn new(pool: Rc<Pool>, clock: Steady, rps: f64, write_rps: f64, share: f64) -> Self {
+        let now = clock.now();
+        let budget = Budget {
+            requests: Bucket::new(rps * share, now),
+            writes: Bucket::new(write_rps * share, now),
+        };
+        Store {
+            pool,
+            budget: Rc::new(RefCell::new(budget)),
+            clock,
+        }
+    }
+
+    fn admit(&self, urgency: Urgency, writes: usize) -> bool {
+        let now = self.clock.now();
+        let mut b = self.budget.borrow_mut();
+        // Renewals are never refused here; the rest leaves room for them.
+        let keep = match urgency {
+            Urgency::Vital => -1.0,
+            Urgency::Prompt => 0.1,
+            Urgency::Spare => 0.35,
+        };
+        if writes > 0 && !b.writes.take(now, writes as f64, keep) {
+            return false;
+        }
+        b.requests.take(now, 1.0, keep)
+    }
+
+    /// Asks, waiting a little for the budget where it is used up.
+    pub async fn ask(&self, request: Request, urgency: Urgency) -> Reply {
+        let writes = match &request {
+            Request::Txn { ops, .. } => ops.len(),
+            _ => 0,
+        };
+        let until = self.clock.now() + Micros::from_millis(800);
+        while !self.admit(urgency, writes) {
+            if self.clock.now() >= until {
+                return Reply::Refused;
+            }
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+        self.send(request).await
+    }
+
+    async fn send(&self, request: Request) -> Reply {
+        let (method, path, body) = match &request {
+            Request::Get { key } => ("GET", format!("/keys/{key}"), None),
+            Request::List { starts, since } => {
+                let since = since
+                    .as_ref()
+                    .map_or(String::new(), |s| format!("&since={s}"));
+                (
+                    "GET",
+                    format!("/keys?starts={starts}{since}&most=500"),
+                    None,
+                )
+            }
+            Request::Txn { conds, ops } => ("POST", "/txn".into(), Some(txn_body(conds, ops))),
+            Request::NewLease { life } => (
+                "POST",
+                "/leases".into(),
+                Some(json!({"lifeMs": life.0 / 1000})),
+            ),
+            Request::Renew { tenure } => {
+                ("POST", format!("/leases/{tenure}/renew"), Some(json!({})))
+            }
+            Request::EndLease { tenure } => ("DELETE", format!("/leases/{tenure}"), None),
+        };
+        let sent = self.pool.call(method, &path, body.as_ref(), DEADLINE).await;
+        match sent {
+            Ok((status, body)) => read_reply(&request, status, &body),
+            Err(Failure::NotSent) => Reply::Refused,
+            Err(Failure::NoAnswer) => Reply::Unknown,
+        }
+    }
+
+    /// Reads everything below the root; none if the store can't be read now.
+    pub async fn load(&self) -> Option<(Vec<Row>, u64)> {
+        let (mut all, mut since, mut first) = (Vec::new(), None, None);
+        loop {
+            let request = Request::List {
+                starts: ROOT.into(),
+                since,
+            };
+            let Reply::Rows { rows, more, ledger } = self.ask(request, Urgency::Prompt).await
+            else {
+                return None;
+            };
+            // Following from the first page's revision repeats changes; they are
+            // idempotent. Following from the last page's would lose some.
+            let from = *first.get_or_insert(ledger);
+            since = rows.last().map(|r| r.key.clone());
+            all.extend(rows);
+            if !more || since.is_none() {
+                return Some((all, from));
+            }
+        }
+    }
+
+    pub async fn follow(&self, since: u64) -> Followed {
+        if !self.admit(Urgency::Vital, 0) {
+            return Followed::Failed;
+        }
+        let path = format!("/follow?starts={ROOT}&since={since}&waitMs={WATCH_MS}");
+        let deadline = Duration::from_millis(WATCH_MS) + DEADLINE;
+        match self.pool.call("GET", &path, None, deadline).await {
+            Ok((200, body)) => match serde_json::from_slice::<Log>(&body) {
+                Ok(log) => Followed::Changes(log.log, log.ledger),
+                Err(_) => Followed::Failed,
+            },
+            // Too far behind: read the keys once more.
+            Ok((410, _)) => Followed::TooOld,
+            _ => Followed::Failed,
+        }
+    }
+}
+
+pub enum Followed {
+    Changes(Vec<Change>, u64),
+    TooOld,
+    Failed,
+}
+
+fn txn_body(conds: &[Cond], ops: &[Op]) -> Value {
+    json!({"if": conds, "then": ops})
+}
+
+fn read_reply(request: &Request, status: u16, body: &[u8]) -> Reply {
+    fn parse<'a, T: Deserialize<'a>>(body: &'a [u8], to: impl Fn(T) -> Reply) -> Reply {
+        serde_json::from_slice(body).map_or(Reply::Unknown, to)
+    }
+    match (request, status) {
+        (_, 429 | 503) => Reply::Refused,
+        (Request::Get { .. }, 200) => parse(body, Reply::Found),
+        (Request::Get { .. }, 404) => Reply::Missing,
+        (Request::List { .. }, 200) => parse(body, |r: Rows| Reply::Rows {
+            rows: r.rows,
+            more: r.more,
+            ledger: r.ledger,
+        }),
+        (Request::Txn { .. }, 200) => parse(body, |l: Ledger| Reply::Committed(Stamp(l.ledger))),
+        (Request::Txn { .. }, 409) => parse(body, |f: Failed| Reply::Conflict(f.failed)),
+        (Request::Txn { .. }, 400) if body.windows(13).any(|w| w == b"no such lease") => {
+            Reply::LeaseGone
+        }
+        (Request::NewLease { .. }, 200) => parse(body, |l: Leased| Reply::Leased(l.tenure)),
+        (Request::Renew { .. } | Request::EndLease { .. }, 200..=299) => Reply::Done,
+        (Request::Renew { .. } | Request::EndLease { .. }, 404) => Reply::LeaseGone,
+        (_, 400..=499) => {
+            tracing::error!(
+                status,
+                ?request,
+                "the state service calls a request malformed"
+            );
+            Reply::Refused
+        }
+        _ => Reply::Unknown,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn renewals_pass_when_the_budget_is_used_up() {
+        let now = Micros(0);
+        let mut b = Bucket::new(10.0, now);
+        let taken = (0..20).filter(|_| b.take(now, 1.0, 0.35)).count();
+        assert_eq!(taken, 6);
+        assert!(b.take(now, 1.0, -1.0));
+        assert!(!b.take(now, 1.0, 0.35));
+        assert!(b.take(Micros(1_000_000), 1.0, 0.35));
+    }
+
+    #[test]
+    fn only_clear_answers_are_clear() {
+        let txn = Request::Txn {
+            conds: vec![],
+            ops: vec![],
+        };
+        assert_eq!(
+            read_reply(&txn, 200, br#"{"ledger":432}"#),
+            Reply::Committed(Stamp(432))
+        );
+        assert_eq!(
+            read_reply(&txn, 409, br#"{"failed":["a"],"ledger":4}"#),
+            Reply::Conflict(vec!["a".into()])
+        );
+        assert_eq!(
+            read_reply(&txn, 400, br#"{"error":"no such lease"}"#),
+            Reply::LeaseGone
+        );
+        assert_eq!(read_reply(&txn, 503, b""), Reply::Refused);
+        // Half an answer is no answer: the write may have been carried out.
+        assert_eq!(read_reply(&txn, 200, b"{\"led"), Reply::Unknown);
+        assert_eq!(read_reply(&txn, 502, b""), Reply::Unknown);
+    }
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,577 @@
+//! Machines' workers: what they report, what they are told, and the picture
+//! that a holder keeps of each of its machines.
+
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::ids::{Attempt, MachineId, TaskId, Term, Token};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Ours alone: the launch was decided, no report has shown it yet.
+    #[serde(skip)]
+    Launching,
+    Pulling,
+    Running,
+    Saving,
+    Exited,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    Stopped,
+    Error,
+    NoRoom,
+    InUse,
+    Unknown,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Hand {
+    pub hand: String,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    #[serde(rename = "standing")]
+    pub phase: Phase,
+    #[serde(default)]
+    pub cause: Option<Cause>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Report {
+    #[serde(rename = "rig")]
+    pub machine: MachineId,
+    pub addr: String,
+    pub build: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    pub shift: u64,
+    pub tally: u64,
+    pub baton: Token,
+    #[serde(rename = "warningS", default)]
+    pub warning_s: Option<f64>,
+    pub hands: Vec<Hand>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "verb", rename_all = "lowercase")]
+pub enum Order {
+    Launch {
+        hand: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    Halt {
+        hand: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        #[serde(rename = "leewayS")]
+        leeway_s: f64,
+    },
+    Reap {
+        hand: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+/// The answer to a report that counts.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Orders {
+    pub baton: Token,
+    pub orders: Vec<Order>,
+}
+
+/// Commands sent straight to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Direct {
+    pub baton: Token,
+    pub shift: u64,
+    pub orders: Vec<Order>,
+}
+
+pub type Key = (TaskId, Attempt);
+
+/// An attempt on a machine, until it is surely over.
+#[derive(Debug, Clone)]
+pub struct Try {
+    pub phase: Phase,
+    pub cause: Option<Cause>,
+    pub team: Option<usize>,
+    pub request: Res,
+    pub image: String,
+    /// When it was decided, or first seen.
+    pub since: Micros,
+    pub running_since: Option<Micros>,
+    pub estimate: Micros,
+    /// Its launch went out by `/do` or in an answer.
+    pub sent: bool,
+    /// To be stopped, with this much time to save.
+    pub halt: Option<f64>,
+    /// Given up before it was shown: over once a report has this token without it.
+    pub abandoned: Option<Token>,
+    /// Its end is recorded, so the worker may forget it.
+    pub reap: bool,
+}
+
+/// What a report changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    Started(Key),
+    Ended(Key, Cause),
+    /// Over without a trace: the session moved on, or it never began.
+    Gone(Key),
+    /// Shown, but not known here.
+    Strange(Key, Phase, Option<Cause>),
+}
+
+/// How far giving a machine up has got. From the first step on it is not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    No,
+    Sent,
+    /// The write had no answer: it may have been, or may still be, carried out,
+    /// until the key that it depends on has changed.
+    Unsure,
+    Stored,
+}
+
+/// A holder's picture of one machine.
+#[derive(Debug)]
+pub struct Machine {
+    pub build: String,
+    pub zone: String,
+    pub spot: bool,
+    pub capacity: Res,
+    pub addr: String,
+    pub term: Term,
+    epoch: u64,
+    pub shift: u64,
+    tally: u64,
+    /// Held by an earlier holder: nothing is known of it until a report has our token.
+    pub unsettled: bool,
+    pub added: Micros,
+    pub last_heard: Option<Micros>,
+    /// When a report of it was last answered with a valid token.
+    pub last_answer: Micros,
+    pub tries: BTreeMap<Key, Try>,
+    pub images: BTreeSet<String>,
+    /// The cloud takes it then.
+    pub taken_at: Option<Micros>,
+    /// A `/do` is out.
+    pub direct_out: bool,
+    /// A `/do` had no answer and may still arrive; over once a report has this token.
+    unfenced: Option<Token>,
+    pub draining: bool,
+    pub leaving: Leaving,
+    /// How often our token was sent to it directly after a take-over.
+    pub introductions: u32,
+    pub idle_since: Micros,
+    /// Jobs that failed here since anything last succeeded.
+    pub failed_jobs: BTreeSet<crate::ids::JobId>,
+}
+
+impl Machine {
+    pub fn new(
+        now: Micros,
+        term: Term,
+        build: &str,
+        zone: &str,
+        spot: bool,
+        capacity: Res,
+        addr: &str,
+    ) -> Self {
+        Machine {
+            build: build.into(),
+            zone: zone.into(),
+            spot,
+            capacity,
+            addr: addr.into(),
+            term,
+            epoch: 0,
+            shift: 0,
+            tally: 0,
+            unsettled: false,
+            added: now,
+            last_heard: None,
+            last_answer: now,
+            tries: BTreeMap::new(),
+            images: BTreeSet::new(),
+            taken_at: None,
+            direct_out: false,
+            unfenced: None,
+            draining: false,
+            leaving: Leaving::No,
+            introductions: 0,
+            idle_since: now,
+            failed_jobs: BTreeSet::new(),
+        }
+    }
+
+    pub fn token(&self) -> Token {
+        Token::of(self.term, self.epoch)
+    }
+
+    /// Fences everything that we sent before, delayed `/do` commands included,
+    /// without asking the store: the term is ours, the epoch below it too.
+    fn fence(&mut self) -> Token {
+        self.epoch += 1;
+        self.token()
+    }
+
+    /// A `/do` was not answered: it may still arrive, minutes late.
+    pub fn direct_lost(&mut self) {
+        self.direct_out = false;
+        let token = self.fence();
+        self.unfenced = Some(token);
+    }
+
+    /// No command of ours may still arrive by a way that outlives an answer.
+    pub fn quiet(&self) -> bool {
+        !self.direct_out && self.unfenced.is_none()
+    }
+
+    /// Nothing of anyone's is on it or may still arrive there.
+    pub fn empty(&self) -> bool {
+        self.tries.is_empty() && self.quiet() && !self.unsettled
+    }
+
+    /// Gives up attempts that no report has shown yet.
+    pub fn abandon_launching(&mut self, which: impl Fn(&Key) -> bool) {
+        if !self
+            .tries
+            .iter()
+            .any(|(k, t)| t.phase == Phase::Launching && t.abandoned.is_none() && which(k))
+        {
+            return;
+        }
+        let token = self.fence();
+        for (key, t) in &mut self.tries {
+            if t.phase == Phase::Launching && t.abandoned.is_none() && which(key) {
+                t.abandoned = Some(token);
+            }
+        }
+    }
+
+    /// Stops what `which` picks: at once what was not shown yet, with time to
+    /// save what was.
+    pub fn stop(&mut self, leeway_s: f64, which: impl Fn(&Key) -> bool) {
+        self.abandon_launching(&which);
+        for (_, t) in self
+            .tries
+            .iter_mut()
+            .filter(|(k, t)| t.phase != Phase::Exited && which(k))
+        {
+            t.halt = Some(t.halt.map_or(leeway_s, |l| l.min(leeway_s)));
+        }
+    }
+
+    /// Whether this report is newer than what is known. A cut may keep reports
+    /// back and deliver them late; their task lists are as old as they are.
+    pub fn newer(&self, r: &Report) -> bool {
+        (r.shift, r.tally) > (self.shift, self.tally)
+    }
+
+    /// Takes in a newer report.
+    pub fn observe(&mut self, now: Micros, r: &Report) -> Vec<Event> {
+        let mut events = Vec::new();
+        self.last_heard = Some(now);
+        if r.addr != self.addr {
+            self.addr.clone_from(&r.addr);
+        }
+        let moved_on = self.shift != 0 && r.shift > self.shift;
+        self.shift = r.shift;
+        self.tally = r.tally;
+        if moved_on {
+            // The session ended: the worker has killed all it had, and drops
+            // commands for the old session, however late they come.
+            self.unfenced = None;
+            self.images.clear();
+        }
+        if self.unfenced.is_some_and(|t| r.baton >= t) {
+            self.unfenced = None;
+        }
+        if self.unsettled && r.baton >= Token::of(self.term, 0) {
+            self.unsettled = false;
+        }
+        self.taken_at = r.warning_s.map(|w| now + Micros::from_secs(w));
+        let mut shown = BTreeSet::new();
+        for hand in &r.hands {
+            let Some(task) = TaskId::parse(&hand.hand) else {
+                continue;
+            };
+            let key = (task, hand.attempt);
+            shown.insert(key.clone());
+            let Some(t) = self.tries.get_mut(&key) else {
+                events.push(Event::Strange(key, hand.phase, hand.cause));
+                continue;
+            };
+            let before = t.phase;
+            t.phase = hand.phase;
+            t.cause = hand.cause;
+            if hand.phase == Phase::Running && t.running_since.is_none() {
+                t.running_since = Some(now);
+                self.images.insert(t.image.clone());
+                events.push(Event::Started(key.clone()));
+            }
+            if t.abandoned.is_some() && hand.phase != Phase::Exited && t.halt.is_none() {
+                // It began after all, before the fence reached the worker.
+                t.halt = Some(0.0);
+            }
+            if hand.phase == Phase::Exited && before != Phase::Exited {
+                events.push(Event::Ended(key, hand.cause.unwrap_or(Cause::Other)));
+            }
+        }
+        let quiet = self.quiet();
+        self.tries.retain(|key, t| {
+            if shown.contains(key) {
+                return true;
+            }
+            let over = match t.phase {
+                // Not shown yet: it may still arrive, so it stays ours, and is sent
+                // again, until the session moves on or its fence was seen.
+                Phase::Launching => moved_on || t.abandoned.is_some_and(|a| r.baton >= a),
+                Phase::Exited => true,
+                _ => moved_on || quiet,
+            };
+            if over && t.phase != Phase::Exited {
+                events.push(Event::Gone(key.clone()));
+            }
+            !over
+        });
+        if !self.tries.is_empty() {
+            self.idle_since = now;
+        }
+        events
+    }
+
+    /// The worker's lease is surely over, or the machine gone: nothing runs there.
+    pub fn over(&mut self) -> Vec<Key> {
+        self.unsettled = false;
+        self.unfenced = None;
+        let ended = self.tries.iter().filter(|(_, t)| t.phase != Phase::Exited);
+        let keys = ended.map(|(k, _)| k.clone()).collect();
+        self.tries.clear();
+        keys
+    }
+
+    /// What the worker should be told now.
+    pub fn orders(&mut self) -> Vec<Order> {
+        if self.unsettled {
+            return Vec::new();
+        }
+        // After a reap the worker has forgotten the attempt, so a launch that may
+        // still arrive would run it once more: reaping waits until none can.
+        let may_reap = self.quiet();
+        let mut orders = Vec::new();
+        for ((task, attempt), t) in &mut self.tries {
+            let (hand, attempt) = (task.to_string(), *attempt);
+            match t.phase {
+                Phase::Launching if t.abandoned.is_none() => {
+                    t.sent = true;
+                    orders.push(Order::Launch { hand, attempt });
+                }
+                Phase::Launching => {}
+                Phase::Exited if t.reap && may_reap => orders.push(Order::Reap { hand, attempt }),
+                Phase::Exited => {}
+                _ => {
+                    if let Some(leeway_s) = t.halt {
+                        orders.push(Order::Halt {
+                            hand,
+                            attempt,
+                            leeway_s,
+                        });
+                    }
+                }
+            }
+        }
+        // Room is made before it is used.
+        orders.sort_by_key(|o| matches!(o, Order::Launch { .. }));
+        orders
+    }
+
+    /// What attempts take of it, those not yet surely over included.
+    pub fn used(&self) -> Res {
+        let mut sum = Res::default();
+        for t in self.tries.values().filter(|t| t.phase != Phase::Exited) {
+            sum += t.request;
+        }
+        sum
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn report(
+        machine: &str,
+        shift: u64,
+        tally: u64,
+        baton: Token,
+        hands: &[(&str, u64, &str, &str)],
+    ) -> Report {
+        let hands: Vec<_> = hands
+            .iter()
+            .map(|(hand, attempt, standing, cause)| {
+                serde_json::json!({"hand": hand, "try": attempt, "standing": standing,
+                    "cause": if cause.is_empty() { serde_json::Value::Null } else { (*cause).into() }})
+            })
+            .collect();
+        serde_json::from_value(serde_json::json!({
+            "rig": machine, "addr": "10.1.0.1:9000", "build": "big", "yard": "x", "loaners": false,
+            "shift": shift, "tally": tally, "baton": baton, "warningS": null, "hands": hands
+        }))
+        .expect("well formed")
+    }
+
+    fn machine() -> Machine {
+        Machine::new(
+            Micros(0),
+            Term(3),
+            "big",
+            "x",
+            false,
+            Res::new(16.0, 0.0, 64.0),
+            "",
+        )
+    }
+
+    fn launch(m: &mut Machine, task: &str, attempt: u64) -> Key {
+        let key = (TaskId::parse(task).expect("a task"), Attempt(attempt));
+        let t = Try {
+            phase: Phase::Launching,
+            cause: None,
+            team: Some(0),
+            request: Res::new(2.0, 0.0, 4.0),
+            image: "i".into(),
+            since: Micros(0),
+            running_since: None,
+            estimate: Micros(0),
+            sent: false,
+            halt: None,
+            abandoned: None,
+            reap: false,
+        };
+        m.tries.insert(key.clone(), t);
+        key
+    }
+
+    fn launches(m: &mut Machine) -> usize {
+        m.orders()
+            .iter()
+            .filter(|o| matches!(o, Order::Launch { .. }))
+            .count()
+    }
+
+    #[test]
+    fn a_launch_that_no_report_shows_stays_ours_and_is_repeated() {
+        let mut m = machine();
+        launch(&mut m, "j-1/0", 7);
+        assert_eq!(launches(&mut m), 1);
+        assert!(
+            m.observe(Micros(1), &report("m", 1, 1, m.token(), &[]))
+                .is_empty()
+        );
+        assert_eq!(launches(&mut m), 1);
+        assert_eq!(m.used().cores, 2.0);
+    }
+
+    #[test]
+    fn a_lost_direct_command_holds_back_reaping_until_it_is_fenced() {
+        let mut m = machine();
+        let key = launch(&mut m, "j-1/0", 7);
+        m.direct_out = true;
+        let old = m.token();
+        m.direct_lost();
+        assert!(m.token() > old);
+        m.observe(
+            Micros(1),
+            &report("m", 1, 1, old, &[("j-1/0", 7, "exited", "done")]),
+        );
+        m.tries.get_mut(&key).expect("kept").reap = true;
+        assert_eq!(
+            m.orders(),
+            vec![],
+            "the late launch would run it again after a reap"
+        );
+        m.observe(
+            Micros(2),
+            &report("m", 1, 2, m.token(), &[("j-1/0", 7, "exited", "done")]),
+        );
+        assert!(matches!(m.orders()[..], [Order::Reap { .. }]));
+    }
+
+    #[test]
+    fn an_abandoned_launch_is_over_only_behind_its_fence() {
+        let mut m = machine();
+        let key = launch(&mut m, "j-1/0", 7);
+        let old = m.token();
+        m.stop(0.0, |_| true);
+        assert_eq!(launches(&mut m), 0);
+        assert!(
+            m.observe(Micros(1), &report("m", 1, 1, old, &[]))
+                .is_empty()
+        );
+        let events = m.observe(Micros(2), &report("m", 1, 2, m.token(), &[]));
+        assert_eq!(events, vec![Event::Gone(key)]);
+    }
+
+    #[test]
+    fn an_abandoned_launch_that_began_is_halted() {
+        let mut m = machine();
+        launch(&mut m, "j-1/0", 7);
+        m.stop(0.0, |_| true);
+        m.observe(
+            Micros(1),
+            &report("m", 1, 1, Token(0), &[("j-1/0", 7, "running", "")]),
+        );
+        assert!(matches!(m.orders()[..], [Order::Halt { .. }]));
+    }
+
+    #[test]
+    fn a_new_session_ends_all_of_the_old_one() {
+        let mut m = machine();
+        m.observe(Micros(0), &report("m", 1, 1, Token(0), &[]));
+        let key = launch(&mut m, "j-1/0", 7);
+        let events = m.observe(Micros(1), &report("m", 2, 9, Token(0), &[]));
+        assert_eq!(events, vec![Event::Gone(key)]);
+        assert!(
+            !m.newer(&report("m", 1, 50, Token(0), &[])),
+            "a late report of the old session"
+        );
+    }
+
+    #[test]
+    fn an_unsettled_machine_gets_no_orders_until_it_has_seen_our_token() {
+        let mut m = machine();
+        m.unsettled = true;
+        launch(&mut m, "j-1/0", 7);
+        m.observe(Micros(1), &report("m", 4, 1, Token::of(Term(2), 5), &[]));
+        assert!(m.unsettled && m.orders().is_empty());
+        m.observe(Micros(2), &report("m", 4, 2, Token::of(Term(3), 0), &[]));
+        assert!(!m.unsettled);
+    }
+
+    #[test]
+    fn odd_reports_are_refused_or_change_nothing() {
+        assert!(serde_json::from_str::<Report>(r#"{"rig":"m"}"#).is_err());
+        let mut m = machine();
+        let events = m.observe(
+            Micros(1),
+            &report("m", 1, 1, Token(0), &[("nonsense", 1, "running", "")]),
+        );
+        assert!(events.is_empty() && m.tries.is_empty());
+    }
+}
