--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -69,9 +69,10 @@
     let (first, term_cond, term_op) = take_terms(mirror, open.len() as u64);
     let (mut conds, mut ops) = (vec![leader, term_cond], vec![term_op]);
     for (i, b) in open.into_iter().enumerate() {
-        let (label, n) = load
-            .iter_mut()
-            .min_by_key(|(l, n)| (!fit(l), **n, l.as_str().to_owned()))?;
+        let (label, n) = load.iter_mut().min_by_key(|(l, n)| {
+            // Leading is work too: among equals, another member.
+            (!fit(l), **n, **l == &settings.label, l.as_str().to_owned())
+        })?;
         *n += 1;
         let incarnation = mirror.members.get(*label)?.0;
         let teams = settings.platform.teams.iter().enumerate();
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -379,9 +379,10 @@
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let s = &self.settings;
+        let blocks = self.policy.blocks(s);
         let teams = (0..s.platform.teams.len())
             .map(|t| {
-                let b = leader::block_of(&self.mirror, s, self.policy.blocks, t);
+                let b = leader::block_of(&self.mirror, s, blocks, t);
                 let rec = self.mirror.holders.get(&b);
                 rec.map_or((b, Stamp(0), Term(0)), |(stamp, rec)| (b, *stamp, rec.term))
             })
@@ -531,7 +532,12 @@
             || now.since(since) > Micros::from_millis(2_000)
         {
             let fit = |l: &Label| self.fit(now, l);
-            let grants = leader::grants(&self.mirror, &self.settings, self.policy.blocks, &fit);
+            let grants = leader::grants(
+                &self.mirror,
+                &self.settings,
+                self.policy.blocks(&self.settings),
+                &fit,
+            );
             if let Some((conds, ops)) = grants
                 && self.claim(now, "grants")
             {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,12 +1,14 @@
 //! What operators may choose, beyond the platform's file.
 
 use crate::clock::Micros;
+use crate::settings::Settings;
 
 /// The operators' choices. None of them can weaken a rule.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Policy {
-    /// Blocks that the fleet is divided into.
-    pub blocks: u64,
+    /// Guaranteed cores per block: the fleet has a block for each of these, and at
+    /// most one per controller.
+    pub block_cores: f64,
     /// How long a machine may be idle before it is returned.
     pub idle_return: Micros,
     /// How long a machine stays silent before it is returned.
@@ -15,10 +17,19 @@
     pub rent_horizon: Micros,
 }
 
+impl Policy {
+    /// Blocks that the fleet is divided into. Work can't use the room of another
+    /// block, so small fleets are not divided (measured: see docs/design.md).
+    pub fn blocks(&self, settings: &Settings) -> u64 {
+        let wanted = (settings.guarantees().cores / self.block_cores).ceil();
+        (wanted as u64).clamp(1, settings.platform.initial_size as u64)
+    }
+}
+
 impl Default for Policy {
     fn default() -> Self {
         Policy {
-            blocks: 3,
+            block_cores: 512.0,
             idle_return: Micros::from_millis(45_000),
             silent: Micros::from_millis(10_000),
             rent_horizon: Micros::from_millis(30_000),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -107,12 +107,14 @@
 /// Two steady clocks may drift apart by 0.05%; twice that is allowed for.
 const DRIFT: f64 = 0.001;
 /// Beyond the drift: the store ends a lease up to 100 ms late, commands travel,
-/// and a controller short of processor time may act late.
+/// and a controller short of processor time may act late. Where the room is
+/// small, this is a part of it.
 const MARGIN_S: f64 = 3.0;
+const MARGIN_PART: f64 = 0.25;
 /// The design's starting length of a block's lease.
 const LEASE_S: f64 = 20.0;
 /// Below this, renewals over a busy store can't keep a lease up.
-const LEAST_LEASE_S: f64 = 4.0;
+const LEAST_LEASE_S: f64 = 2.0;
 
 impl Settings {
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
@@ -195,8 +197,7 @@
         if self.raw_lease_s() < LEAST_LEASE_S {
             return fail(format!(
                 "workers.cancel_s leaves {room} s beyond workers.lease_s, which is no room for a lease \
-                 (at least {} s)",
-                LEAST_LEASE_S + MARGIN_S
+                 of {LEAST_LEASE_S} s"
             ));
         }
         Ok(())
@@ -204,7 +205,8 @@
 
     fn raw_lease_s(&self) -> f64 {
         let w = &self.platform.workers;
-        LEASE_S.min(w.cancel_s - w.lease_s * (1.0 + DRIFT) - MARGIN_S)
+        let room = w.cancel_s - w.lease_s * (1.0 + DRIFT);
+        LEASE_S.min(room - MARGIN_S.min(room * MARGIN_PART))
     }
 
     /// What a controller asks of the state service for its member lease.
@@ -214,7 +216,8 @@
 
     /// How long after it sent a renewal a controller may still act.
     pub fn act_for(&self) -> Micros {
-        Micros::from_secs(self.raw_lease_s() * (1.0 - DRIFT) - 1.0)
+        let lease = self.raw_lease_s();
+        Micros::from_secs(lease * (1.0 - DRIFT) - (lease * 0.15).min(1.0))
     }
 
     /// After this time without an answer, a worker has surely ended its tasks.
@@ -278,7 +281,7 @@
         assert!(s.check().is_ok());
         // 45 - 30.03 - 3: the holder's and the worker's lease both fit.
         assert_eq!(s.lease(), Micros(11_970_000));
-        s.platform.workers.cancel_s = 36.0;
+        s.platform.workers.cancel_s = 32.0;
         assert!(s.check().unwrap_err().contains("no room for a lease"));
     }
 
