Preemption on strict terms, faster and better packed renting, a line on use

Cause: rentals waited for credits of machines that the cloud had not given; every job's need was rounded up to machines of its own.

--- a/src/blocks/holder.rs
+++ b/src/blocks/holder.rs
@@ -155,6 +155,10 @@
                 &r.addr,
             );
             m.unsettled = at_grant;
+            m.fetch = types
+                .iter()
+                .find(|t| t.name == r.build)
+                .map_or(1.0, |t| t.fetch_gb_per_s);
             self.machines.insert(id.clone(), m);
         }
         self.stir = true;
@@ -275,26 +279,10 @@
     fn adopt(&mut self, now: Micros, on: &MachineId, key: Key, phase: Phase, cause: Option<Cause>) {
         let job = self.jobs.get_mut(&key.0.job);
         let index = key.0.index;
-        let mut t = Try {
-            phase,
-            cause,
-            team: None,
-            request: Res::default(),
-            image: String::new(),
-            since: now,
-            running_since: (phase == Phase::Running).then_some(now),
-            estimate: Micros::ZERO,
-            sent: true,
-            halt: None,
-            abandoned: None,
-            reap: false,
-        };
+        let mut t = Try::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
+        t.cause = cause;
         let mut ours = false;
         if let Some(job) = job {
-            t.team = Some(job.team);
-            t.request = job.desc.request();
-            t.image.clone_from(&job.desc.image);
-            t.estimate = Micros::from_secs(job.desc.estimate_s);
             let free = index < job.desc.tasks
                 && !job.done.contains(index)
                 && !job.active.contains_key(&index);
@@ -312,7 +300,7 @@
             return;
         };
         if phase == Phase::Running {
-            m.images.insert(t.image.clone());
+            m.images.insert(t.image().to_owned());
         }
         m.tries.insert(key.clone(), t);
         if phase == Phase::Exited && ours {
@@ -402,20 +390,11 @@
                 continue;
             };
             job.start(c.index, c.machine.clone());
-            let t = Try {
-                phase: Phase::Launching,
-                cause: None,
-                team: Some(job.team),
-                request: job.desc.request(),
-                image: job.desc.image.clone(),
-                since: now,
-                running_since: None,
-                estimate: Micros::from_secs(job.desc.estimate_s),
-                sent: false,
-                halt: None,
-                abandoned: None,
-                reap: false,
-            };
+            let t = Try::new(Phase::Launching, now, Some((job.team, &job.desc)));
+            if let Some(r) = m.reserved.iter_mut().find(|r| r.job == c.job) {
+                r.count = r.count.saturating_sub(1);
+            }
+            m.reserved.retain(|r| r.count > 0 && r.until > now);
             tracing::debug!(block = %self.block, term = %self.term, job = %c.job, task = c.index, %attempt, machine = %c.machine, "start");
             m.tries.insert(
                 (
@@ -428,6 +407,30 @@
                 t,
             );
         }
+        self.preempt(now, day, fleet);
+    }
+
+    /// Stops work for what found no room and comes before it.
+    fn preempt(&mut self, now: Micros, day: Micros, fleet: Res) {
+        let rebuilding = self.rebuilding().then_some(self.term);
+        let scene = self.scene(now, day, fleet);
+        let stops = placement::preempt(&scene, rebuilding, self.heard_within());
+        for s in stops {
+            let Some(m) = self.machines.get_mut(&s.machine) else {
+                continue;
+            };
+            for (key, leeway_s) in &s.victims {
+                tracing::debug!(block = %self.block, task = %key.0, attempt = %key.1, r#for = %s.reserve.job, "preempt");
+                m.stop(*leeway_s, |k| k == key);
+            }
+            match m.reserved.iter_mut().find(|r| r.job == s.reserve.job) {
+                Some(r) => {
+                    r.count += s.reserve.count;
+                    r.until = s.reserve.until;
+                }
+                None => m.reserved.push(s.reserve),
+            }
+        }
     }
 
     /// Commands to be sent straight to machines: launches that no answer carried,
@@ -782,6 +785,22 @@
         )
     }
 
+    /// A line for operators on how the block is used.
+    pub fn log_use(&self, now: Micros) {
+        let heard = self.heard_within();
+        let usable = |m: &&Machine| placement::usable(m, now, heard);
+        let cores =
+            |ms: &mut dyn Iterator<Item = &Machine>| ms.map(|m| m.capacity.cores).sum::<f64>();
+        let used: f64 = self.machines.values().map(|m| m.used().cores).sum();
+        let up = cores(&mut self.machines.values().filter(usable));
+        let booting = cores(&mut self.machines.values().filter(|m| m.last_heard.is_none()));
+        let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.ended) {
+            *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
+        }
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, "use");
+    }
+
     /// Each team's heaviness and what it uses, for the sums.
     pub fn sums(&self, now: Micros, day: Micros, fleet: Res) -> BTreeMap<String, f64> {
         let teams = placement::weigh(&self.scene(now, day, fleet));
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -163,7 +163,7 @@
             settings.act_for(),
         );
         Core {
-            manager: Manager::new(&settings),
+            manager: Manager::new(&settings, &policy),
             settings,
             policy,
             mirror: Mirror::default(),
@@ -641,6 +641,7 @@
             self.last_sums = now;
             let mut sums = BTreeMap::new();
             for h in self.held.values() {
+                h.log_use(now);
                 sums.extend(h.sums(now, day, fleet));
             }
             let ops = vec![store::set(keys::sums(&self.settings.label), &sums)];
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -9,6 +9,7 @@
 use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
 use crate::mesh::BlockNews;
 use crate::placement::Need;
+use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, Reply, cond, keys};
@@ -58,12 +59,20 @@
     Refused,
 }
 
+#[derive(Debug)]
+struct Credit {
+    block: BlockId,
+    until: Micros,
+    capacity: Res,
+    count: u32,
+}
+
 /// What only lives while this controller leads.
 pub struct Manager {
     me: Label,
     txn_ops: usize,
     lag: Micros,
-    report: Micros,
+    horizon: Micros,
     /// The leadership that this state belongs to, by the leader key's stamp.
     reign: Stamp,
     counter: u64,
@@ -79,22 +88,28 @@
     writing: bool,
     /// The mirror must have caught up with this before the next write.
     wait_for: Stamp,
-    /// Room that reports don't show yet, with the time from when they will.
-    credits: Vec<(BlockId, Micros, Res, u32)>,
+    /// Requests that lacked room lately.
+    shapes: Vec<(Res, Micros)>,
+    /// Room that reports don't show yet, by the hire that brings it.
+    credits: BTreeMap<String, Credit>,
 }
 
 const LIST_EVERY: Micros = Micros::from_millis(3_000);
 const CREDIT: Micros = Micros::from_millis(3_000);
-const MOST_HIRES_OUT: usize = 3;
+const MOST_HIRES_OUT: usize = 6;
+/// A large machine must be this much cheaper per task to be rented for small
+/// ones, while large ones lack room.
+const SCARCE: f64 = 1.5;
+const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
 const MOST_PER_HIRE: u32 = 8;
 
 impl Manager {
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
             me: settings.label.clone(),
             txn_ops: settings.platform.state.txn_ops,
             lag: Micros::from_secs(settings.platform.cloud.list_lag_s),
-            report: Micros::from_secs(settings.platform.workers.report_s),
+            horizon: policy.rent_horizon,
             reign: Stamp(0),
             counter: 0,
             list: BTreeMap::new(),
@@ -107,7 +122,8 @@
             returned: BTreeSet::new(),
             writing: false,
             wait_for: Stamp(0),
-            credits: Vec::new(),
+            credits: BTreeMap::new(),
+            shapes: Vec::new(),
         }
     }
 
@@ -158,7 +174,7 @@
             me: self.me.clone(),
             txn_ops: self.txn_ops,
             lag: self.lag,
-            report: self.report,
+            horizon: self.horizon,
             reign: Stamp(0),
             counter: 0,
             list: BTreeMap::new(),
@@ -171,7 +187,8 @@
             returned: BTreeSet::new(),
             writing: false,
             wait_for: Stamp(0),
-            credits: Vec::new(),
+            credits: BTreeMap::new(),
+            shapes: Vec::new(),
         }
     }
 
@@ -247,7 +264,7 @@
     /// goes out, what was given up moves on.
     fn change_machines(
         &mut self,
-        now: Micros,
+        _now: Micros,
         mirror: &Mirror,
         leader: &Cond,
         news: &BTreeMap<BlockId, BlockNews>,
@@ -366,7 +383,6 @@
             new_term = true;
             recs.get_mut(&from).map(|r| r.0.remove(&id));
             recs.get_mut(&to).map(|r| r.0.insert(id.clone(), rec));
-            self.credits.push((to, now + CREDIT, Res::default(), 0));
         }
         let mut conds = vec![leader.clone()];
         let changed: Vec<BlockId> = blocks
@@ -435,76 +451,112 @@
         news: &BTreeMap<BlockId, BlockNews>,
         out: &mut Vec<Effect>,
     ) {
-        self.credits.retain(|(_, until, ..)| *until > now);
-        let busy = self
+        self.credits.retain(|_, c| c.until > now);
+        self.shapes.retain(|(_, at)| now.since(*at) < SHAPE_KEPT);
+        for need in news.values().flat_map(|n| &n.needs) {
+            match self.shapes.iter_mut().find(|(s, _)| *s == need.request) {
+                Some((_, at)) => *at = now,
+                None => self.shapes.push((need.request, now)),
+            }
+        }
+        if self.list.is_empty() && self.listed_at == now {
+            return;
+        }
+        let out_now = self
             .hires
             .values()
             .filter(|(_, h)| !matches!(h, Hire::Refused))
             .count();
-        if busy >= MOST_HIRES_OUT || self.list.is_empty() && self.listed_at == now {
-            return;
-        }
+        let mut may = MOST_HIRES_OUT.saturating_sub(out_now);
         for (b, n) in news {
             if now.since(n.at) > Micros::from_millis(4_000) {
                 continue;
             }
+            // What is on its way serves the needs in their order; so does what is
+            // left of a machine that is rented for one of them.
+            let on_the_way = self.credits.values().filter(|c| c.block == *b);
+            let mut rooms: Vec<Res> = on_the_way
+                .flat_map(|c| std::iter::repeat_n(c.capacity, c.count as usize))
+                .collect();
             for need in &n.needs {
-                if self
-                    .hires
-                    .values()
-                    .filter(|(_, h)| !matches!(h, Hire::Refused))
-                    .count()
-                    >= MOST_HIRES_OUT
-                {
-                    return;
+                let mut count = need.count;
+                for free in &mut rooms {
+                    let n = need.request.times_in(free).min(count);
+                    *free -= need.request.scale(f64::from(n));
+                    count -= n;
                 }
-                let coming: u32 = self
-                    .credits
-                    .iter()
-                    .filter(|(block, ..)| block == b)
-                    .map(|(_, _, cap, n)| need.request.times_in(cap) * n)
-                    .sum();
-                let count = need.count.saturating_sub(coming);
-                if count == 0 {
+                if count == 0 || may == 0 {
                     continue;
                 }
                 let Some((t, zone, spot)) = self.cheapest(now, mirror, types, need) else {
                     continue;
                 };
+                if !spot && !need.waited_long {
+                    // Ordinary machines cost several times as much: work that is soon
+                    // over by itself is worth fewer of them.
+                    let part = |h: f64| (need.estimate_s / h).min(1.0);
+                    let horizon = self.horizon.as_secs();
+                    count = (f64::from(count) * part(3.0 * horizon) / part(horizon)).round() as u32;
+                }
                 let per = need.request.times_in(&t.capacity()).max(1);
+                let machines = count.div_ceil(per).min(MOST_PER_HIRE);
+                if machines == 0 {
+                    continue;
+                }
+                may -= 1;
+                for i in 0..machines {
+                    let used = (count - (i * per).min(count)).min(per);
+                    rooms.push(t.capacity() - need.request.scale(f64::from(used)));
+                }
                 let hire = HireRec {
                     build: t.name.clone(),
                     zone,
                     spot,
-                    count: count.div_ceil(per).min(MOST_PER_HIRE),
+                    count: machines,
                     block: *b,
                 };
-                self.counter += 1;
-                // The reign's stamp is never reused, so neither is the name.
-                let name = format!("r-{}-{}", self.reign, self.counter);
-                tracing::info!(%name, ?hire, "renting");
-                self.credits.push((
-                    *b,
-                    now + Micros::from_millis(8_000),
-                    t.capacity(),
-                    hire.count,
-                ));
-                let key = keys::hire(&name);
-                let conds = vec![leader.clone(), cond(key.clone(), Stamp(0))];
-                let ops = vec![store::set(key, &hire)];
-                out.push(Effect::Txn(
-                    Write::Hire {
-                        name: name.clone(),
-                        hire: hire.clone(),
-                    },
-                    conds,
-                    ops,
-                ));
-                self.hires.insert(name, (hire, Hire::Recording));
+                out.push(self.record_hire(now, leader, hire, t.capacity()));
             }
         }
     }
 
+    /// A hire is recorded before the cloud is asked.
+    fn record_hire(&mut self, now: Micros, leader: &Cond, hire: HireRec, capacity: Res) -> Effect {
+        self.counter += 1;
+        // The reign's stamp is never reused, so neither is the name.
+        let name = format!("r-{}-{}", self.reign, self.counter);
+        tracing::info!(%name, ?hire, "renting");
+        let until = now + Micros::from_millis(8_000);
+        self.credits.insert(
+            name.clone(),
+            Credit {
+                block: hire.block,
+                until,
+                capacity,
+                count: hire.count,
+            },
+        );
+        let key = keys::hire(&name);
+        let conds = vec![leader.clone(), cond(key.clone(), Stamp(0))];
+        let ops = vec![store::set(key, &hire)];
+        self.hires
+            .insert(name.clone(), (hire.clone(), Hire::Recording));
+        Effect::Txn(Write::Hire { name, hire }, conds, ops)
+    }
+
+    /// Whether work that fits no smaller type was short of room lately: there are
+    /// only so many large machines, and small tasks have a choice.
+    fn wanted_by_larger(&self, t: &MachineType, types: &[MachineType], need: &Need) -> bool {
+        let fitting = types.iter().filter(|t| need.request.fits_in(&t.capacity()));
+        let Some(least) = fitting.min_by(|a, b| a.cores.total_cmp(&b.cores)) else {
+            return false;
+        };
+        let (least, this) = (least.capacity(), t.capacity());
+        self.shapes
+            .iter()
+            .any(|(shape, _)| !shape.fits_in(&least) && shape.fits_in(&this))
+    }
+
     /// The cheapest offer per task that was not refused lately; among equals the
     /// one that we have least of, so that one wave does not take all.
     fn cheapest(
@@ -536,8 +588,13 @@
                         .flat_map(|(_, r)| r.0.values())
                         .filter(|m| m.build == t.name && m.zone == *zone && m.spot == spot)
                         .count();
-                    let price = if spot { t.spot_price } else { t.price } / f64::from(per)
-                        * (1.0 + 0.01 * have as f64);
+                    let hourly = if spot { t.spot_price } else { t.price };
+                    let scarce = if self.wanted_by_larger(t, types, need) {
+                        SCARCE
+                    } else {
+                        1.0
+                    };
+                    let price = hourly / f64::from(per) * scarce * (1.0 + 0.01 * have as f64);
                     if best.as_ref().is_none_or(|(p, ..)| price < *p) {
                         best = Some((price, t.clone(), zone.clone(), spot));
                     }
@@ -579,6 +636,10 @@
                             self.backoff.remove(&offer);
                         }
                         tracing::info!(%name, got = ids.len(), "rented");
+                        if let Some(c) = self.credits.get_mut(&name) {
+                            c.count = ids.len() as u32;
+                            c.until = now + CREDIT;
+                        }
                         *state = Hire::Rented(ids);
                     }
                     CloudReply::NoCapacity => {
@@ -586,13 +647,7 @@
                         b.times += 1;
                         b.until = now + Micros::from_millis(5_000 << b.times.min(3));
                         *state = Hire::Refused;
-                        if let Some(i) = self
-                            .credits
-                            .iter()
-                            .position(|c| c.0 == hire.block && c.3 == hire.count)
-                        {
-                            self.credits.remove(i);
-                        }
+                        self.credits.remove(&name);
                     }
                     // It may have been carried out: only the same name may ask again.
                     _ => *state = Hire::Ask(now + Micros::from_millis(1_500)),
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -378,6 +378,13 @@
         }
     }
 
+    /// The order among jobs of one rank: least slack first, but those whose
+    /// deadline is lost come after those that can still keep theirs.
+    pub fn urgency(&self, day: Micros) -> (bool, i64) {
+        let slack = self.slack(day);
+        (slack < -2_000_000, slack)
+    }
+
     /// Microseconds until it is due, less what its tasks still take; jobs
     /// without a deadline come after those with one.
     pub fn slack(&self, day: Micros) -> i64 {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,9 +3,9 @@
 use crate::clock::Micros;
 use crate::fairness::{self, Res};
 use crate::ids::{JobId, MachineId};
-use crate::jobs::{Job, JobDesc, Rank};
+use crate::jobs::{Job, JobDesc};
 use crate::settings::Settings;
-use crate::workers::{Leaving, Machine, Phase};
+use crate::workers::{Key, Leaving, Machine, Phase, Reserved, Try};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A decision: this task on this machine.
@@ -106,9 +106,9 @@
 fn requests(m: &Machine) -> (Res, BTreeMap<usize, Res>) {
     let (mut summed, mut by_team) = (Res::default(), BTreeMap::<usize, Res>::new());
     for t in m.tries.values().filter(|t| t.phase != Phase::Exited) {
-        summed += t.request;
+        summed += t.request();
         if let Some(team) = t.team {
-            *by_team.entry(team).or_default() += t.request;
+            *by_team.entry(team).or_default() += t.request();
         }
     }
     (summed, by_team)
@@ -149,7 +149,7 @@
     }
     for queue in queues.values_mut() {
         // Inside a team: rank, then slack, then age. Popped from the end.
-        queue.sort_by_key(|(_, j)| (j.desc.rank, -j.slack(scene.day), std::cmp::Reverse(j.at)));
+        queue.sort_by_key(|(_, j)| (j.desc.rank, std::cmp::Reverse((j.urgency(scene.day), j.at))));
     }
     let mut teams = weigh(scene);
     let mut rooms: Vec<Room<'_>> = scene
@@ -159,7 +159,7 @@
         .map(|(id, machine)| {
             let (summed, by_team) = requests(machine);
             let mut images: BTreeSet<&str> = machine.images.iter().map(String::as_str).collect();
-            images.extend(machine.tries.values().map(|t| t.image.as_str()));
+            images.extend(machine.tries.values().map(Try::image));
             Room {
                 id,
                 machine,
@@ -214,7 +214,7 @@
         let best = rooms
             .iter_mut()
             .filter(fitting)
-            .filter(|r| !r.held && request.fits_in(&r.free))
+            .filter(|r| !r.held && request.fits_in(&r.free_for(id, scene.now)))
             .max_by(|a, b| worth(a, desc).total_cmp(&worth(b, desc)));
         let Some(room) = best else {
             hopeless.push(shape(desc));
@@ -278,14 +278,32 @@
     None
 }
 
+impl Room<'_> {
+    /// What is free for a job, without what others were stopped for.
+    fn free_for(&self, id: &JobId, now: Micros) -> Res {
+        let mut free = self.free;
+        for r in self
+            .machine
+            .reserved
+            .iter()
+            .filter(|r| r.job != *id && r.until > now)
+        {
+            free -= r.request.scale(f64::from(r.count));
+        }
+        free
+    }
+}
+
+/// How good a place is: small tasks go where large ones can't, images are not
+/// fetched without need, and cheap machines are filled first.
 fn worth(r: &Room<'_>, d: &JobDesc) -> f64 {
-    let cached = if r.images.contains(d.image.as_str()) {
-        2.0
-    } else {
-        0.0
-    };
-    // Best fit: what stays whole can take a large task.
-    cached + d.request().share_of(&r.free)
+    let request = d.request();
+    let cached = r.images.contains(d.image.as_str());
+    let mut worth = if cached { 2.0 } else { 0.0 } + request.share_of(&r.free);
+    if r.machine.reserved.iter().any(|x| x.job == d.id) {
+        worth += 4.0;
+    }
+    worth
 }
 
 fn missing(r: &Room<'_>, request: &Res) -> f64 {
@@ -333,7 +351,8 @@
     pub spot: bool,
     /// Tasks' worth of room that is missing.
     pub count: u32,
-    pub urgent: bool,
+    pub estimate_s: f64,
+    pub waited_long: bool,
 }
 
 impl Need {
@@ -363,6 +382,7 @@
         .collect();
     jobs.sort_by_key(|j| (std::cmp::Reverse(j.desc.rank), j.slack(scene.day)));
     let mut rooms: Vec<(Res, &str, &str, bool)> = coming.to_vec();
+    let mut carry = 0.0;
     let mut needs: Vec<Need> = Vec::new();
     for job in jobs {
         let d = &job.desc;
@@ -373,7 +393,17 @@
         // Short tasks run one after another in the time that a boot takes.
         let estimate = Micros::from_secs(d.estimate_s).0 as f64;
         let part = (estimate / horizon.0.max(1) as f64).min(1.0);
-        let mut wanted = (f64::from(room) * part).ceil() as u32;
+        let waited_long = scene.day.since(job.at) >= PATIENCE;
+        // What is left of one job's part counts with the next one's; nobody waits
+        // for ever because his part is small.
+        let exact = f64::from(room) * part + carry;
+        let mut wanted = if waited_long {
+            exact.ceil()
+        } else {
+            exact.floor()
+        } as u32;
+        carry = (exact - f64::from(wanted)).max(0.0);
+        wanted = wanted.min(room);
         if let Some(l) = left.get_mut(&job.team) {
             *l -= request.scale(f64::from(wanted));
         }
@@ -396,7 +426,8 @@
             zone: d.zone.clone(),
             spot: d.spot,
             count: wanted,
-            urgent: d.rank >= Rank::High,
+            estimate_s: d.estimate_s,
+            waited_long,
         };
         match needs.iter_mut().find(|n| {
             Need {
@@ -410,3 +441,261 @@
     }
     needs
 }
+
+/// Work to be stopped for a job, and the room that this keeps for it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stop {
+    pub machine: MachineId,
+    /// With the time that each needs to save.
+    pub victims: Vec<(Key, f64)>,
+    pub reserve: Reserved,
+}
+
+const PRESSED_US: i64 = 8_000_000;
+const LATE_US: i64 = 2_000_000;
+const RELAXED_US: i64 = 15_000_000;
+const PATIENCE: Micros = Micros::from_millis(10_000);
+/// Room that was freed for a job is kept for it this long.
+const KEPT: Micros = Micros::from_millis(8_000);
+/// Work this close to its end is not worth stopping.
+const NEARLY_DONE_S: f64 = 3.0;
+/// Stopping and starting once more costs this much besides what is lost.
+const RESTART_S: f64 = 2.0;
+
+/// Whether stopping others still helps a job, and waiting longer would not do:
+/// its deadline is near but not lost, or it has none and has waited for long.
+fn pressed(job: &Job, day: Micros) -> bool {
+    match job.desc.due_s {
+        Some(_) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
+        None => day.since(job.at) >= PATIENCE,
+    }
+}
+
+/// Whether a job can stand that a task of it is stopped.
+fn relaxed(job: &Job, ran: Micros, day: Micros) -> bool {
+    let left = job.slack(day) + ran.0 as i64;
+    left > RELAXED_US
+}
+
+/// What is lost may be this part of what is won. Measured: at the whole of it,
+/// stopping cost all classes more than it gave the one that it was for.
+const WORTH_IT: f64 = 0.25;
+
+/// What stopping an attempt loses, in core-seconds; none: it is left alone.
+fn loss(t: &Try, now: Micros) -> Option<(f64, f64)> {
+    let d = t.desc.as_ref()?;
+    if t.halt.is_some()
+        || t.abandoned.is_some()
+        || !matches!(t.phase, Phase::Pulling | Phase::Running)
+    {
+        return None;
+    }
+    let ran = t.running_since.map_or(0.0, |r| now.since(r).as_secs());
+    if t.running_since.is_some() && d.estimate_s - ran < NEARLY_DONE_S + d.save_s {
+        return None;
+    }
+    let (lost, leeway) = if d.checkpoint_s > 0.0 {
+        (d.save_s.min(ran), d.save_s + 1.0)
+    } else {
+        (ran, 0.0)
+    };
+    Some(((lost + RESTART_S) * d.cores.max(0.1), leeway))
+}
+
+/// Decides what to stop: for work of a higher rank, or so that a team gets its
+/// guarantee from one that runs above its own. Only if more is won than lost.
+pub fn preempt(
+    scene: &Scene<'_>,
+    rebuilding: Option<crate::ids::Term>,
+    heard_within: Micros,
+) -> Vec<Stop> {
+    let mut teams = weigh(scene);
+    let mut jobs: Vec<(&JobId, &Job)> = scene
+        .jobs
+        .iter()
+        .filter(|(_, j)| launchable(j, scene.now, rebuilding) && pressed(j, scene.day))
+        .collect();
+    jobs.sort_by(|(_, a), (_, b)| {
+        let heavy = |j: &Job| teams.get(&j.team).map_or(0.0, |t| t.heaviness);
+        b.desc
+            .rank
+            .cmp(&a.desc.rank)
+            .then(heavy(a).total_cmp(&heavy(b)))
+            .then(a.slack(scene.day).cmp(&b.slack(scene.day)))
+    });
+    let mut stops: Vec<Stop> = Vec::new();
+    let mut gone: BTreeSet<Key> = BTreeSet::new();
+    let mut free: BTreeMap<&MachineId, Res> = BTreeMap::new();
+    for (id, m) in scene
+        .machines
+        .iter()
+        .filter(|(_, m)| usable(m, scene.now, heard_within))
+    {
+        let mut room = m.capacity - m.used();
+        // What is being stopped was stopped for someone.
+        for t in m
+            .tries
+            .values()
+            .filter(|t| t.halt.is_some() && t.phase != Phase::Exited)
+        {
+            room += t.request();
+        }
+        for r in m.reserved.iter().filter(|r| r.until > scene.now) {
+            room -= r.request.scale(f64::from(r.count));
+        }
+        free.insert(id, room);
+    }
+    for (id, job) in jobs {
+        let d = &job.desc;
+        let request = d.request();
+        let limits = &scene.settings.platform.teams[job.team];
+        let reserved = |m: &Machine| -> u32 {
+            m.reserved
+                .iter()
+                .filter(|r| r.job == *id && r.until > scene.now)
+                .map(|r| r.count)
+                .sum()
+        };
+        let coming: u32 = scene.machines.values().map(reserved).sum();
+        let Some(team) = teams.get(&job.team) else {
+            continue;
+        };
+        let mut used = team.used;
+        used += request.scale(f64::from(coming));
+        let mut pending = request
+            .times_in(&(limits.limit() - used))
+            .min(job.waiting.len().saturating_sub(coming));
+        if d.one_zone || d.apart {
+            // Where its tasks may go changes with each; it waits for its turn.
+            pending = 0;
+        }
+        while pending > 0 {
+            // Room that another's stop left over.
+            let over = free.iter_mut().find(|(m, room)| {
+                let m = &scene.machines[**m];
+                request.fits_in(room)
+                    && d.allows(&m.build, &m.zone, m.spot)
+                    && !m.failed_jobs.contains(id)
+            });
+            if let Some((_, room)) = over {
+                *room -= request;
+                pending -= 1;
+                continue;
+            }
+            let mut after = used;
+            after += request;
+            let guaranteed = after.fits_in(&{
+                let g = limits.guarantee();
+                Res::new(g.cores, g.cards, f64::INFINITY)
+            });
+            let best = free
+                .iter()
+                .filter_map(|(m, room)| {
+                    victims(scene, &teams, m, *room, job, pending, guaranteed, &gone)
+                })
+                .min_by(|a, b| a.price.total_cmp(&b.price));
+            let Some(plan) = best else { break };
+            let m = &scene.machines[plan.machine];
+            let room = free.get_mut(plan.machine).expect("from the map");
+            for (key, _) in &plan.victims {
+                if let Some(t) = m.tries.get(key) {
+                    *room += t.request();
+                    if let Some(team) = t.team.and_then(|t| teams.get_mut(&t)) {
+                        team.used -= t.request();
+                    }
+                }
+                gone.insert(key.clone());
+            }
+            *room -= request.scale(f64::from(plan.count));
+            used += request.scale(f64::from(plan.count));
+            pending -= plan.count;
+            let reserve = Reserved {
+                job: id.clone(),
+                request,
+                count: plan.count,
+                until: scene.now + KEPT,
+            };
+            stops.push(Stop {
+                machine: plan.machine.clone(),
+                victims: plan.victims,
+                reserve,
+            });
+        }
+    }
+    stops
+}
+
+struct Plan<'a> {
+    machine: &'a MachineId,
+    victims: Vec<(Key, f64)>,
+    count: u32,
+    /// Lost per won.
+    price: f64,
+}
+
+#[allow(clippy::too_many_arguments)]
+fn victims<'a>(
+    scene: &Scene<'_>,
+    teams: &BTreeMap<usize, Team>,
+    machine: &'a MachineId,
+    room: Res,
+    job: &Job,
+    pending: u32,
+    guaranteed: bool,
+    gone: &BTreeSet<Key>,
+) -> Option<Plan<'a>> {
+    let (m, d) = (scene.machines.get(machine)?, &job.desc);
+    let request = d.request();
+    if !d.allows(&m.build, &m.zone, m.spot)
+        || m.failed_jobs.contains(&d.id)
+        || !request.fits_in(&m.capacity)
+    {
+        return None;
+    }
+    let may = |t: &Try| {
+        let Some(v) = &t.desc else { return false };
+        let ran = t.running_since.map_or(Micros::ZERO, |r| scene.now.since(r));
+        if scene
+            .jobs
+            .get(&v.id)
+            .is_some_and(|j| !relaxed(j, ran, scene.day))
+        {
+            return false;
+        }
+        if v.rank < d.rank {
+            return true;
+        }
+        // Work that another team runs above its own guarantee.
+        let above = t.team.filter(|v| *v != job.team).and_then(|v| {
+            let g = scene.settings.platform.teams[v].guarantee();
+            teams
+                .get(&v)
+                .map(|team| (team.used - t.request()).cores >= g.cores)
+        });
+        guaranteed && above == Some(true)
+    };
+    let mut candidates: Vec<(&Key, &Try, f64, f64)> = m
+        .tries
+        .iter()
+        .filter(|(k, t)| !gone.contains(k) && may(t))
+        .filter_map(|(k, t)| loss(t, scene.now).map(|(lost, leeway)| (k, t, lost, leeway)))
+        .collect();
+    candidates.sort_by(|a, b| a.2.total_cmp(&b.2));
+    let (mut room, mut lost, mut victims) = (room, 0.0, Vec::new());
+    for (key, t, l, leeway) in candidates {
+        room += t.request();
+        lost += l;
+        victims.push((key.clone(), leeway));
+        if request.fits_in(&room) {
+            break;
+        }
+    }
+    let count = request.times_in(&room).min(pending);
+    let won = f64::from(count) * d.cores.max(0.1) * d.estimate_s.max(1.0);
+    (!victims.is_empty() && count > 0 && lost <= won * WORTH_IT).then(|| Plan {
+        machine,
+        victims,
+        count,
+        price: lost / won,
+    })
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -4,8 +4,10 @@
 use crate::clock::Micros;
 use crate::fairness::Res;
 use crate::ids::{Attempt, MachineId, TaskId, Term, Token};
+use crate::jobs::JobDesc;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -109,22 +111,58 @@
     pub phase: Phase,
     pub cause: Option<Cause>,
     pub team: Option<usize>,
-    pub request: Res,
-    pub image: String,
+    /// None: of a job that is not known here.
+    pub desc: Option<Rc<JobDesc>>,
     /// When it was decided, or first seen.
     pub since: Micros,
     pub running_since: Option<Micros>,
-    pub estimate: Micros,
     /// Its launch went out by `/do` or in an answer.
     pub sent: bool,
     /// To be stopped, with this much time to save.
     pub halt: Option<f64>,
+    /// Its halt went out.
+    pub halt_sent: bool,
     /// Given up before it was shown: over once a report has this token without it.
     pub abandoned: Option<Token>,
     /// Its end is recorded, so the worker may forget it.
     pub reap: bool,
 }
 
+impl Try {
+    pub fn new(phase: Phase, now: Micros, job: Option<(usize, &Rc<JobDesc>)>) -> Try {
+        Try {
+            phase,
+            cause: None,
+            team: job.map(|(team, _)| team),
+            desc: job.map(|(_, desc)| desc.clone()),
+            since: now,
+            running_since: (phase == Phase::Running).then_some(now),
+            sent: phase != Phase::Launching,
+            halt: None,
+            halt_sent: false,
+            abandoned: None,
+            reap: false,
+        }
+    }
+
+    pub fn request(&self) -> Res {
+        self.desc.as_ref().map_or(Res::default(), |d| d.request())
+    }
+
+    pub fn image(&self) -> &str {
+        self.desc.as_ref().map_or("", |d| d.image.as_str())
+    }
+}
+
+/// Room that was freed for a job by stopping others.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reserved {
+    pub job: crate::ids::JobId,
+    pub request: Res,
+    pub count: u32,
+    pub until: Micros,
+}
+
 /// What a report changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -178,6 +216,10 @@
     /// How often our token was sent to it directly after a take-over.
     pub introductions: u32,
     pub idle_since: Micros,
+    /// Room kept for jobs that others were stopped for.
+    pub reserved: Vec<Reserved>,
+    /// Gigabytes of an image fetched per second.
+    pub fetch: f64,
     /// Jobs that failed here since anything last succeeded.
     pub failed_jobs: BTreeSet<crate::ids::JobId>,
 }
@@ -215,6 +257,8 @@
             leaving: Leaving::No,
             introductions: 0,
             idle_since: now,
+            reserved: Vec::new(),
+            fetch: 0.0,
             failed_jobs: BTreeSet::new(),
         }
     }
@@ -322,7 +366,7 @@
             t.cause = hand.cause;
             if hand.phase == Phase::Running && t.running_since.is_none() {
                 t.running_since = Some(now);
-                self.images.insert(t.image.clone());
+                self.images.insert(t.image().to_owned());
                 events.push(Event::Started(key.clone()));
             }
             if t.abandoned.is_some() && hand.phase != Phase::Exited && t.halt.is_none() {
@@ -387,6 +431,7 @@
                 Phase::Exited => {}
                 _ => {
                     if let Some(leeway_s) = t.halt {
+                        t.halt_sent = true;
                         orders.push(Order::Halt {
                             hand,
                             attempt,
@@ -405,7 +450,7 @@
     pub fn used(&self) -> Res {
         let mut sum = Res::default();
         for t in self.tries.values().filter(|t| t.phase != Phase::Exited) {
-            sum += t.request;
+            sum += t.request();
         }
         sum
     }
@@ -414,6 +459,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
+    use crate::jobs::tests::desc;
 
     pub fn report(
         machine: &str,
@@ -450,20 +496,11 @@
 
     fn launch(m: &mut Machine, task: &str, attempt: u64) -> Key {
         let key = (TaskId::parse(task).expect("a task"), Attempt(attempt));
-        let t = Try {
-            phase: Phase::Launching,
-            cause: None,
-            team: Some(0),
-            request: Res::new(2.0, 0.0, 4.0),
-            image: "i".into(),
-            since: Micros(0),
-            running_since: None,
-            estimate: Micros(0),
-            sent: false,
-            halt: None,
-            abandoned: None,
-            reap: false,
-        };
+        let t = Try::new(
+            Phase::Launching,
+            Micros(0),
+            Some((0, &Rc::new(desc("j-1", 4)))),
+        );
         m.tries.insert(key.clone(), t);
         key
     }
