Blank machines stop no take-over; the leader has a short lease of its own

Machines are now recorded as used before the first launch, the leader's key hangs on a lease of 6 s, and names of hires carry the leader's incarnation.

--- a/src/blocks/holder.rs
+++ b/src/blocks/holder.rs
@@ -27,6 +27,8 @@
     /// A job's stamp is read again after a write without a clear answer.
     Reread(JobId),
     GiveUp(Vec<MachineId>),
+    /// Machines that are used from now on.
+    Open(Vec<MachineId>),
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -50,13 +52,17 @@
     counter: u64,
     /// Ends that are not stored yet, by job: reaped once they are.
     unreaped: BTreeMap<JobId, Vec<(MachineId, Key)>>,
-    giving_up: bool,
+    writing_machines: bool,
     /// Something changed that placement should look at.
     stir: bool,
     last_heard: Micros,
     last_give_up: Micros,
 }
 
+const UNSETTLED_SILENT: Micros = Micros::from_millis(6_000);
+const NEVER_HEARD: Micros = Micros::from_millis(180_000);
+/// After an attempt to connect failed.
+const DIRECT_AGAIN: Micros = Micros::from_millis(1_000);
 /// Changes of a job are batched for this long.
 const WRITE_GAP: Micros = Micros::from_millis(900);
 /// Direct launches per machine wait for nothing; this bounds one pass.
@@ -84,7 +90,7 @@
             jobs: BTreeMap::new(),
             counter: 0,
             unreaped: BTreeMap::new(),
-            giving_up: false,
+            writing_machines: false,
             stir: true,
             last_heard: now,
             last_give_up: Micros::ZERO,
@@ -135,6 +141,7 @@
         }
         for (id, r) in rec.0.iter().filter(|(_, r)| r.freed.is_none()) {
             if let Some(m) = self.machines.get_mut(id) {
+                m.used |= r.used;
                 if m.leaving == Leaving::Unsure {
                     // The key has changed since: the late write fails by itself.
                     m.leaving = Leaving::No;
@@ -154,7 +161,8 @@
                 capacity,
                 &r.addr,
             );
-            m.unsettled = at_grant;
+            m.unsettled = at_grant && r.used;
+            m.used = r.used;
             m.fetch = types
                 .iter()
                 .find(|t| t.name == r.build)
@@ -439,7 +447,8 @@
         let mut out = Vec::new();
         let heard_within = self.heard_within();
         for (id, m) in &mut self.machines {
-            if m.direct_out || m.addr.is_empty() || m.leaving != Leaving::No {
+            if m.direct_out || now < m.direct_after || m.addr.is_empty() || m.leaving != Leaving::No
+            {
                 continue;
             }
             // Once to learn the session, once under it; more would only pile up
@@ -489,16 +498,19 @@
     }
 
     /// It surely did not go out: there is nothing to fence.
-    pub fn direct_not_sent(&mut self, id: &MachineId) {
+    pub fn direct_not_sent(&mut self, now: Micros, id: &MachineId) {
         if let Some(m) = self.machines.get_mut(id) {
             m.direct_out = false;
+            m.direct_after = now + DIRECT_AGAIN;
+            m.introductions = m.introductions.saturating_sub(1);
         }
     }
 
     /// Machines that are to be returned get nothing more to do.
     pub fn condemn(&mut self, dead: &[MachineId]) {
         for id in dead {
-            if let Some(m) = self.machines.get_mut(id) {
+            // What was never heard may still be booting.
+            if let Some(m) = self.machines.get_mut(id).filter(|m| m.last_heard.is_some()) {
                 m.draining = true;
             }
         }
@@ -572,8 +584,17 @@
                     _ => job.writing = Writing::Reread,
                 }
             }
+            Write::Open(ids) => {
+                self.writing_machines = false;
+                for id in ids.iter().filter(|_| matches!(reply, Reply::Committed(_))) {
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.used = true;
+                        self.stir = true;
+                    }
+                }
+            }
             Write::GiveUp(ids) => {
-                self.giving_up = false;
+                self.writing_machines = false;
                 match reply {
                     Reply::Committed(_) => self.leave(&ids, Leaving::Stored),
                     // Surely not done, and it never will be: they stay ours.
@@ -687,7 +708,9 @@
         }
         let silent = |m: &Machine| match m.last_heard {
             Some(h) => now.since(h.max(self.granted).max(m.added)) > self.policy.silent,
-            None => m.unsettled && now.since(m.added) > self.policy.silent,
+            // Old jobs wait for it, and a live one answers our direct word at once.
+            None if m.unsettled => now.since(m.added) > UNSETTLED_SILENT,
+            None => now.since(m.added) > NEVER_HEARD,
         };
         let failed = |m: &Machine| m.draining && m.tries.values().all(|t| t.phase == Phase::Exited);
         let dead = self.machines.iter().filter(|(_, m)| silent(m) || failed(m));
@@ -709,6 +732,35 @@
         )
     }
 
+    /// Records machines that were heard for the first time as used, before the
+    /// first launch there.
+    pub fn open(&mut self, mirror: &Mirror) -> Option<Effect> {
+        let new = |m: &Machine| !m.used && m.last_heard.is_some() && m.leaving == Leaving::No;
+        if self.writing_machines || !self.machines.values().any(new) {
+            return None;
+        }
+        let (stamp, rec) = mirror.machines.get(&self.block)?;
+        let mut rec = (**rec).clone();
+        let mut ids = Vec::new();
+        for (id, _) in self.machines.iter().filter(|(_, m)| new(m)) {
+            if let Some(r) = rec.0.get_mut(id) {
+                r.used = true;
+                ids.push(id.clone());
+            }
+        }
+        self.writing_machines = true;
+        Some(self.machines_write(Write::Open(ids), *stamp, &rec))
+    }
+
+    fn machines_write(&self, write: Write, stamp: Stamp, rec: &MachinesRec) -> Effect {
+        let key = keys::machines(self.block);
+        let conds = vec![
+            cond(keys::holder(self.block), self.stamp),
+            cond(key.clone(), stamp),
+        ];
+        Effect::Txn(write, conds, vec![store::set(key, rec)])
+    }
+
     /// Idle machines that go: to other blocks that lack room, or back.
     pub fn give_up(
         &mut self,
@@ -717,7 +769,7 @@
         own: &[Need],
         others: &[Need],
     ) -> Option<Effect> {
-        if self.giving_up || now.since(self.last_give_up) < Micros::from_millis(500) {
+        if self.writing_machines || now.since(self.last_give_up) < Micros::from_millis(500) {
             return None;
         }
         let (stamp, rec) = mirror.machines.get(&self.block)?;
@@ -755,14 +807,9 @@
         if ids.is_empty() {
             return None;
         }
-        self.giving_up = true;
+        self.writing_machines = true;
         self.last_give_up = now;
-        let conds = vec![
-            cond(keys::holder(self.block), self.stamp),
-            cond(keys::machines(self.block), *stamp),
-        ];
-        let ops = vec![store::set(keys::machines(self.block), &rec)];
-        Some(Effect::Txn(Write::GiveUp(ids), conds, ops))
+        Some(self.machines_write(Write::GiveUp(ids), *stamp, &rec))
     }
 
     /// The write by which this holder hands the whole block back.
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -21,9 +21,10 @@
 }
 
 /// A change of the store that only the leader may make.
-pub fn as_leader(mirror: &Mirror, label: &Label) -> Option<Cond> {
+pub fn as_leader(mirror: &Mirror, label: &Label, incarnation: Option<Stamp>) -> Option<Cond> {
     let (stamp, rec) = mirror.leader.as_ref()?;
-    (rec.holder == *label).then(|| cond(keys::LEADER.into(), *stamp))
+    (rec.holder == *label && Some(rec.incarnation) == incarnation)
+        .then(|| cond(keys::LEADER.into(), *stamp))
 }
 
 /// Takes the next `n` terms: the first, and the write that makes them ours.
@@ -41,11 +42,11 @@
 /// Grants every block that nobody alive holds, in one transaction.
 pub fn grants(
     mirror: &Mirror,
+    leader: Cond,
     settings: &Settings,
     blocks: u64,
     fit: &dyn Fn(&Label) -> bool,
 ) -> Option<(Vec<Cond>, Vec<Op>)> {
-    let leader = as_leader(mirror, &settings.label)?;
     let mut load: BTreeMap<&Label, usize> = mirror.members.keys().map(|l| (l, 0)).collect();
     let mut open = Vec::new();
     for b in (0..blocks)
@@ -140,6 +141,7 @@
             Stamp(5),
             LeaderRec {
                 holder: Label::from("c0"),
+                incarnation: Stamp(1),
             },
         ));
         m.term = (Stamp(4), TermRec { last: Term(9) });
@@ -153,6 +155,15 @@
         m
     }
 
+    fn try_grants(
+        m: &Mirror,
+        blocks: u64,
+        fit: &dyn Fn(&Label) -> bool,
+    ) -> Option<(Vec<Cond>, Vec<Op>)> {
+        let leader = as_leader(m, &settings().label, Some(Stamp(1)))?;
+        grants(m, leader, &settings(), blocks, fit)
+    }
+
     fn granted(ops: &[Op]) -> Vec<(String, HolderRec)> {
         ops.iter()
             .filter_map(|op| match op {
@@ -168,7 +179,7 @@
     #[test]
     fn every_block_goes_to_a_living_member_under_its_own_new_term() {
         let m = mirror(&[("c0", 1), ("c1", 2)]);
-        let (conds, ops) = grants(&m, &settings(), 2, &|_| true).expect("grants");
+        let (conds, ops) = try_grants(&m, 2, &|_| true).expect("grants");
         let g = granted(&ops);
         assert_eq!(g.len(), 2);
         assert_ne!(g[0].1.holder, g[1].1.holder);
@@ -191,7 +202,7 @@
             teams: vec!["red".into(), "blue".into()],
         };
         m.holders.insert(BlockId(0), (Stamp(8), old));
-        let (conds, ops) = grants(&m, &settings(), 1, &|l| l.as_str() == "c0").expect("grants");
+        let (conds, ops) = try_grants(&m, 1, &|l| l.as_str() == "c0").expect("grants");
         let g = granted(&ops);
         assert_eq!(
             (g[0].1.holder.as_str(), g[0].1.term, g[0].1.teams.len()),
@@ -210,14 +221,15 @@
             teams: vec![],
         };
         m.holders.insert(BlockId(0), (Stamp(8), held));
-        assert_eq!(grants(&m, &settings(), 1, &|_| true), None);
+        assert_eq!(try_grants(&m, 1, &|_| true), None);
         m.leader = Some((
             Stamp(6),
             LeaderRec {
                 holder: "c1".into(),
+                incarnation: Stamp(2),
             },
         ));
         m.holders.clear();
-        assert_eq!(grants(&m, &settings(), 1, &|_| true), None);
+        assert_eq!(try_grants(&m, 1, &|_| true), None);
     }
 }
--- /dev/null
+++ b/src/blocks/lease.rs
@@ -0,0 +1,92 @@
+//! A lease of the state service that is kept up while it is wanted.
+
+use crate::clock::Micros;
+use crate::ids::Tenure;
+use crate::store::{Reply, Request};
+
+/// The leader's own lease. It is shorter than a member's: losing it stops only
+/// granting and renting, so another may lead soon after a cut.
+#[derive(Debug)]
+pub struct Lease {
+    life: Micros,
+    tenure: Option<Tenure>,
+    renewed: Micros,
+    out: Option<Micros>,
+    not_before: Micros,
+}
+
+const AGAIN: Micros = Micros::from_millis(300);
+
+impl Lease {
+    pub fn new(life: Micros) -> Self {
+        Lease {
+            life,
+            tenure: None,
+            renewed: Micros::ZERO,
+            out: None,
+            not_before: Micros::ZERO,
+        }
+    }
+
+    /// What to ask the store now to keep the lease up.
+    pub fn step(&mut self, now: Micros) -> Option<Request> {
+        if self.out.is_some() || now < self.not_before {
+            return None;
+        }
+        self.out = Some(now);
+        Some(match self.tenure {
+            Some(tenure) => Request::Renew { tenure },
+            None => Request::NewLease { life: self.life },
+        })
+    }
+
+    pub fn reply(&mut self, now: Micros, reply: &Reply) {
+        let sent = self.out.take().unwrap_or(now);
+        self.not_before = now + AGAIN;
+        match reply {
+            Reply::Leased(tenure) => {
+                self.tenure = Some(*tenure);
+                self.renewed = sent;
+            }
+            Reply::Done => {
+                self.renewed = sent;
+                self.not_before = now + Micros(self.life.0 / 4);
+            }
+            Reply::LeaseGone => {
+                self.tenure = None;
+                self.not_before = now;
+            }
+            _ => {}
+        }
+    }
+
+    /// The lease, if it has surely not ended yet.
+    pub fn alive(&self, now: Micros) -> Option<Tenure> {
+        self.tenure
+            .filter(|_| now.since(self.renewed) < Micros(self.life.0 * 3 / 4))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_lease_that_ended_is_taken_anew() {
+        let mut l = Lease::new(Micros::from_secs(6.0));
+        let t = Micros::from_secs(1.0);
+        assert!(matches!(l.step(t), Some(Request::NewLease { .. })));
+        l.reply(t, &Reply::Leased(Tenure(3)));
+        assert_eq!(l.alive(t), Some(Tenure(3)));
+        assert_eq!(
+            l.alive(Micros::from_secs(6.0)),
+            None,
+            "counted from when it was sent"
+        );
+        let t = Micros::from_secs(2.0);
+        assert_eq!(l.step(t), Some(Request::Renew { tenure: Tenure(3) }));
+        l.reply(t, &Reply::LeaseGone);
+        assert_eq!(l.alive(t), None);
+        assert!(matches!(l.step(t), Some(Request::NewLease { .. })));
+    }
+}
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod holder;
 pub mod leader;
+pub mod lease;
 pub mod member;
 
 use crate::ids::{BlockId, Label, MachineId, Stamp, Tenure, Term};
@@ -25,6 +26,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRec {
     pub holder: Label,
+    /// Of the holder, by its member key's stamp: names given out under one
+    /// leadership are never used by the next, even of the same controller.
+    pub incarnation: Stamp,
 }
 
 /// Who holds a block. Valid while that incarnation's member lease lives.
@@ -58,6 +62,10 @@
     /// The machine's own term; the block's counts if that is higher.
     #[serde(rename = "t")]
     pub term: Term,
+    /// Set before anything is launched on it: a successor knows then that a
+    /// machine without it is blank, and need not wait for its report.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub used: bool,
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub freed: Option<Freed>,
 }
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -3,6 +3,7 @@
 //! It composes the slices' cores; it knows no socket and reads no clock.
 
 use crate::blocks::holder::{self, Holder};
+use crate::blocks::lease::Lease;
 use crate::blocks::member::Member;
 use crate::blocks::{LeaderRec, leader};
 use crate::clock::Micros;
@@ -25,6 +26,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Tag {
     Member,
+    LeaderLease,
     Candidacy,
     StepDown,
     Grants,
@@ -128,6 +130,8 @@
     seen: Stamp,
     read: Micros,
     member: Member,
+    /// For the leader's key alone.
+    leading_lease: Lease,
     manager: Manager,
     held: BTreeMap<BlockId, Holder>,
     types: Option<Types>,
@@ -148,6 +152,7 @@
     needs: BTreeMap<BlockId, Vec<Need>>,
 }
 
+const LEADER_LEASE: Micros = Micros::from_millis(6_000);
 const NEWS_EVERY: Micros = Micros::from_millis(700);
 const SUMS_EVERY: Micros = Micros::from_millis(10_000);
 const SILENT_PEER: Micros = Micros::from_millis(5_000);
@@ -163,6 +168,7 @@
             settings.act_for(),
         );
         Core {
+            leading_lease: Lease::new(LEADER_LEASE.min(settings.lease())),
             manager: Manager::new(&settings, &policy),
             settings,
             policy,
@@ -221,7 +227,7 @@
                     match answer {
                         DirectAnswer::Report(r) => h.direct_answer(now, &machine, Some(r)),
                         DirectAnswer::Lost => h.direct_answer(now, &machine, None),
-                        DirectAnswer::NotSent => h.direct_not_sent(&machine),
+                        DirectAnswer::NotSent => h.direct_not_sent(now, &machine),
                     }
                 }
             }
@@ -245,6 +251,7 @@
             let term = h.term;
             let mut effects = h.directs(now);
             effects.extend(h.writes(now));
+            effects.extend(h.open(&self.mirror));
             out.extend(effects.into_iter().map(|e| holder_effect(*b, term, e)));
         }
     }
@@ -333,7 +340,7 @@
         } else {
             self.leaderless.or(Some(now))
         };
-        let leading = leader::as_leader(&self.mirror, &self.settings.label).is_some();
+        let leading = self.leading().is_some();
         if leading && self.leading_since.is_none() {
             tracing::info!("leading");
         }
@@ -484,14 +491,33 @@
         self.resign(now, out);
     }
 
+    fn leading(&self) -> Option<store::Cond> {
+        leader::as_leader(
+            &self.mirror,
+            &self.settings.label,
+            self.member.incarnation(),
+        )
+    }
+
     /// Standing for leader, granting, and the fleet.
     fn lead(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let label = self.settings.label.clone();
-        let (Some(incarnation), Some(tenure)) = (self.member.incarnation(), self.member.tenure())
-        else {
+        let Some(incarnation) = self.member.incarnation() else {
             return;
         };
+        if (self.leaderless.is_some() || self.leading().is_some())
+            && let Some(request) = self.leading_lease.step(now)
+        {
+            out.push(Effect::Store {
+                tag: Tag::LeaderLease,
+                request,
+                urgency: Urgency::Vital,
+            });
+        }
         if let Some(since) = self.leaderless {
+            let Some(tenure) = self.leading_lease.alive(now) else {
+                return;
+            };
             let lonely = self.lonely(now) || now < self.deaf_until;
             if leader::candidacy(&self.mirror, &label, incarnation, since, now, lonely)
                 && self.claim(now, "candidacy")
@@ -504,6 +530,7 @@
                     keys::LEADER.into(),
                     &LeaderRec {
                         holder: label.clone(),
+                        incarnation,
                     },
                     tenure,
                 )];
@@ -511,7 +538,25 @@
             }
             return;
         }
-        let Some(leader_cond) = leader::as_leader(&self.mirror, &label) else {
+        let before = self
+            .mirror
+            .leader
+            .as_ref()
+            .filter(|(_, r)| r.holder == label && r.incarnation != incarnation)
+            .map(|(stamp, _)| *stamp);
+        if let Some(stamp) = before
+            && self.claim(now, "step_down")
+        {
+            // Our earlier incarnation led; that process is dead, since it was us.
+            let conds = vec![cond(keys::LEADER.into(), stamp)];
+            out.push(vital(
+                Tag::StepDown,
+                conds,
+                vec![store::delete(keys::LEADER.into())],
+            ));
+            return;
+        }
+        let Some(leader_cond) = self.leading() else {
             return;
         };
         if self.lonely(now) && self.claim(now, "step_down") {
@@ -534,6 +579,7 @@
             let fit = |l: &Label| self.fit(now, l);
             let grants = leader::grants(
                 &self.mirror,
+                leader_cond.clone(),
                 &self.settings,
                 self.policy.blocks(&self.settings),
                 &fit,
@@ -555,7 +601,7 @@
             let reign = self.mirror.leader.as_ref().map_or(Stamp(0), |(s, _)| *s);
             for e in self
                 .manager
-                .step(now, &self.mirror, self.seen, &types, &news)
+                .step(now, &self.mirror, &leader_cond, self.seen, &types, &news)
             {
                 out.push(match e {
                     manager::Effect::Cloud(request) => Effect::Cloud(request),
@@ -710,6 +756,7 @@
                     self.changed(now, out);
                 }
             }
+            Tag::LeaderLease => self.leading_lease.reply(now, reply),
             Tag::Candidacy => {
                 self.out.remove("candidacy");
             }
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -2,11 +2,11 @@
 //! which block each machine goes to.
 
 use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
-use crate::blocks::leader::{as_leader, take_terms};
+use crate::blocks::leader::take_terms;
 use crate::blocks::{Freed, HireRec, MachineRec, MachinesRec};
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, MachineId, Stamp, Term};
 use crate::mesh::BlockNews;
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -69,7 +69,6 @@
 
 /// What only lives while this controller leads.
 pub struct Manager {
-    me: Label,
     txn_ops: usize,
     lag: Micros,
     horizon: Micros,
@@ -106,7 +105,6 @@
 impl Manager {
     pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
-            me: settings.label.clone(),
             txn_ops: settings.platform.state.txn_ops,
             lag: Micros::from_secs(settings.platform.cloud.list_lag_s),
             horizon: policy.rent_horizon,
@@ -132,13 +130,11 @@
         &mut self,
         now: Micros,
         mirror: &Mirror,
+        leader: &Cond,
         seen: Stamp,
         types: &[MachineType],
         news: &BTreeMap<BlockId, BlockNews>,
     ) -> Vec<Effect> {
-        let Some(leader) = as_leader(mirror, &self.me) else {
-            return Vec::new();
-        };
         if self.reign != leader.stamp {
             // What an earlier reign knew is stale; answers still out are dropped by
             // their names. Its hires are in the store.
@@ -162,16 +158,15 @@
         self.find_returns(now, mirror, types, news);
         self.ask_returns(now, &mut out);
         if !self.writing && seen >= self.wait_for {
-            out.extend(self.change_machines(now, mirror, &leader, news));
+            out.extend(self.change_machines(now, mirror, leader, news));
         }
-        self.ask_hires(now, mirror, &leader, &mut out);
-        self.rent(now, mirror, &leader, types, news, &mut out);
+        self.ask_hires(now, mirror, leader, &mut out);
+        self.rent(now, mirror, leader, types, news, &mut out);
         out
     }
 
     fn cleared(&self) -> Manager {
         Manager {
-            me: self.me.clone(),
             txn_ops: self.txn_ops,
             lag: self.lag,
             horizon: self.horizon,
@@ -226,7 +221,12 @@
                     n.dead.contains(id)
                         && mirror.holders.get(b).is_some_and(|(_, h)| h.term == n.term)
                 });
-                if dead {
+                // What still boots is not silent.
+                let boots = self
+                    .list
+                    .get(id)
+                    .is_some_and(|l| l.standing == CloudStanding::Booting);
+                if dead && !boots {
                     add(id, "silent or failing");
                 }
             }
@@ -312,6 +312,7 @@
                     zone: hire.zone.clone(),
                     spot: hire.spot,
                     term: Term(0),
+                    used: false,
                     freed: None,
                 };
                 recs.get_mut(&block).map(|r| r.0.insert(id.clone(), rec));
@@ -364,6 +365,7 @@
                 zone: m.zone.clone(),
                 spot: m.spot,
                 term: Term(0),
+                used: false,
                 freed: None,
             };
             recs.get_mut(&to).map(|r| r.0.insert(m.id.clone(), rec));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -116,7 +116,8 @@
 
 /// A machine that tasks may be sent to now.
 pub fn usable(m: &Machine, now: Micros, heard_within: Micros) -> bool {
-    !m.draining
+    m.used
+        && !m.draining
         && m.leaving == Leaving::No
         && !m.unsettled
         && m.taken_at.is_none()
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -213,6 +213,10 @@
     unfenced: Option<Token>,
     pub draining: bool,
     pub leaving: Leaving,
+    /// Recorded as used: nothing is launched on it before.
+    pub used: bool,
+    /// No direct command before then.
+    pub direct_after: Micros,
     /// How often our token was sent to it directly after a take-over.
     pub introductions: u32,
     pub idle_since: Micros,
@@ -255,6 +259,8 @@
             unfenced: None,
             draining: false,
             leaving: Leaving::No,
+            used: false,
+            direct_after: Micros::ZERO,
             introductions: 0,
             idle_since: now,
             reserved: Vec::new(),
