--- a/src/blocks/holder.rs
+++ b/src/blocks/holder.rs
@@ -348,11 +348,11 @@
                 if job.failed_on.len() >= 3 {
                     job.not_before = now + Micros::from_millis(1000 << job.failures.min(5));
                 }
-                m.failed_jobs.insert(key.0.job.clone());
+                m.failed_jobs.insert(key.0.job.clone(), now);
                 let jobs = &self.jobs;
                 let fair = m
                     .failed_jobs
-                    .iter()
+                    .keys()
                     .filter(|j| jobs.get(*j).is_none_or(|j| j.failed_on.len() < 3));
                 if fair.count() >= 2 && !m.draining {
                     tracing::info!(block = %self.block, machine = %on, "machine fails tasks of several jobs: drained");
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -30,7 +30,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Form {
+    /// Independent tasks.
     Sweep,
+    /// Runs until it is cancelled (see docs/questions.md).
+    Service,
 }
 
 /// A job as its user describes it.
@@ -147,10 +150,13 @@
         let Some(team) = settings.team(&self.team) else {
             return never(format!("unknown team {}", self.team));
         };
-        if !self
-            .request()
-            .fits_in(&settings.platform.teams[team].limit())
-        {
+        let together = if self.form == Form::Sweep {
+            1
+        } else {
+            self.tasks
+        };
+        let least = self.request().scale(f64::from(together));
+        if !least.fits_in(&settings.platform.teams[team].limit()) {
             return never("one task is over its team's limit".into());
         }
         let fits = |t: &MachineType| {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -210,7 +210,7 @@
             desc.allows(&m.build, &m.zone, m.spot)
                 && zone_allowed(desc, by_zone, &m.zone)
                 // A job that failed on a machine tries others first.
-                && !m.failed_jobs.contains(id)
+                && !m.avoided_by(id, scene.now)
         };
         let best = rooms
             .iter_mut()
@@ -218,7 +218,10 @@
             .filter(|r| !r.held && request.fits_in(&r.free_for(id, scene.now)))
             .max_by(|a, b| worth(a, desc).total_cmp(&worth(b, desc)));
         let Some(room) = best else {
-            hopeless.push(shape(desc));
+            // A job that avoids machines says nothing about its like.
+            if job.failed_on.is_empty() {
+                hopeless.push(shape(desc));
+            }
             if !held {
                 // A head job that fits nowhere holds freed room on the machine
                 // where it will fit soonest, or small tasks would always take it.
@@ -398,7 +401,14 @@
         // What is left of one job's part counts with the next one's; nobody waits
         // for ever because his part is small.
         let exact = f64::from(room) * part + carry;
-        let mut wanted = if waited_long {
+        // Where it has no machine at all, nothing will get free for it.
+        let nowhere = !scene.machines.values().any(|m| {
+            m.leaving == Leaving::No
+                && !m.draining
+                && d.allows(&m.build, &m.zone, m.spot)
+                && request.fits_in(&m.capacity)
+        });
+        let mut wanted = if waited_long || nowhere {
             exact.ceil()
         } else {
             exact.floor()
@@ -576,7 +586,7 @@
                 let m = &scene.machines[**m];
                 request.fits_in(room)
                     && d.allows(&m.build, &m.zone, m.spot)
-                    && !m.failed_jobs.contains(id)
+                    && !m.avoided_by(id, scene.now)
             });
             if let Some((_, room)) = over {
                 *room -= request;
@@ -648,7 +658,7 @@
     let (m, d) = (scene.machines.get(machine)?, &job.desc);
     let request = d.request();
     if !d.allows(&m.build, &m.zone, m.spot)
-        || m.failed_jobs.contains(&d.id)
+        || m.avoided_by(&d.id, scene.now)
         || !request.fits_in(&m.capacity)
     {
         return None;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -185,6 +185,8 @@
     Stored,
 }
 
+const AVOIDED: Micros = Micros::from_millis(20_000);
+
 /// A holder's picture of one machine.
 #[derive(Debug)]
 pub struct Machine {
@@ -225,7 +227,7 @@
     /// Gigabytes of an image fetched per second.
     pub fetch: f64,
     /// Jobs that failed here since anything last succeeded.
-    pub failed_jobs: BTreeSet<crate::ids::JobId>,
+    pub failed_jobs: BTreeMap<crate::ids::JobId, Micros>,
 }
 
 impl Machine {
@@ -265,7 +267,7 @@
             idle_since: now,
             reserved: Vec::new(),
             fetch: 0.0,
-            failed_jobs: BTreeSet::new(),
+            failed_jobs: BTreeMap::new(),
         }
     }
 
@@ -287,6 +289,13 @@
         self.unfenced = Some(token);
     }
 
+    /// Whether a job failed here lately: it tries other machines first.
+    pub fn avoided_by(&self, job: &crate::ids::JobId, now: Micros) -> bool {
+        self.failed_jobs
+            .get(job)
+            .is_some_and(|at| now.since(*at) < AVOIDED)
+    }
+
     /// No command of ours may still arrive by a way that outlives an answer.
     pub fn quiet(&self) -> bool {
         !self.direct_out && self.unfenced.is_none()
