--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -302,9 +302,7 @@
         let mut inputs = vec![input];
         let mut told = None;
         while let Some(input) = inputs.pop() {
-            let Some(core) = self.nodes[i].core.as_mut() else {
-                return None;
-            };
+            let core = self.nodes[i].core.as_mut()?;
             for effect in core.handle(now, now, input) {
                 match effect {
                     Effect::Store { tag, request, .. } => {
