Tidy: one way to reset the manager and to record a blank machine

The manager's reset listed every field a second time and had a field that nothing read; rented and adopted machines were recorded by two copies of the same record. No decision changes.

--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -70,6 +70,21 @@
     pub freed: Option<Freed>,
 }
 
+impl MachineRec {
+    /// A machine that nothing was launched on yet.
+    pub fn blank(addr: String, build: &str, zone: &str, spot: bool) -> Self {
+        MachineRec {
+            addr,
+            build: build.into(),
+            zone: zone.into(),
+            spot,
+            term: Term(0),
+            used: false,
+            freed: None,
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MachinesRec(pub BTreeMap<MachineId, MachineRec>);
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -6,7 +6,7 @@
 use crate::blocks::{Freed, HireRec, MachineRec, MachinesRec};
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::ids::{BlockId, MachineId, Stamp, Term};
+use crate::ids::{BlockId, MachineId, Stamp};
 use crate::mesh::BlockNews;
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -68,9 +68,9 @@
 }
 
 /// What only lives while this controller leads.
+#[derive(Default)]
 pub struct Manager {
     txn_ops: usize,
-    lag: Micros,
     horizon: Micros,
     /// The leadership that this state belongs to, by the leader key's stamp.
     reign: Stamp,
@@ -106,22 +106,8 @@
     pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
             txn_ops: settings.platform.state.txn_ops,
-            lag: Micros::from_secs(settings.platform.cloud.list_lag_s),
             horizon: policy.rent_horizon,
-            reign: Stamp(0),
-            counter: 0,
-            list: BTreeMap::new(),
-            listing: false,
-            listed_at: Micros::ZERO,
-            hires: BTreeMap::new(),
-            backoff: BTreeMap::new(),
-            returning: BTreeMap::new(),
-            return_out: Vec::new(),
-            returned: BTreeSet::new(),
-            writing: false,
-            wait_for: Stamp(0),
-            credits: BTreeMap::new(),
-            shapes: Vec::new(),
+            ..Manager::default()
         }
     }
 
@@ -138,12 +124,13 @@
         if self.reign != leader.stamp {
             // What an earlier reign knew is stale; answers still out are dropped by
             // their names. Its hires are in the store.
-            let fresh = Manager {
+            *self = Manager {
+                txn_ops: self.txn_ops,
+                horizon: self.horizon,
                 reign: leader.stamp,
                 counter: self.counter,
-                ..self.cleared()
+                ..Manager::default()
             };
-            *self = fresh;
         }
         let mut out = Vec::new();
         if seen >= self.wait_for {
@@ -158,35 +145,13 @@
         self.find_returns(now, mirror, types, news);
         self.ask_returns(now, &mut out);
         if !self.writing && seen >= self.wait_for {
-            out.extend(self.change_machines(now, mirror, leader, news));
+            out.extend(self.change_machines(mirror, leader, news));
         }
         self.ask_hires(now, mirror, leader, &mut out);
         self.rent(now, mirror, leader, types, news, &mut out);
         out
     }
 
-    fn cleared(&self) -> Manager {
-        Manager {
-            txn_ops: self.txn_ops,
-            lag: self.lag,
-            horizon: self.horizon,
-            reign: Stamp(0),
-            counter: 0,
-            list: BTreeMap::new(),
-            listing: false,
-            listed_at: Micros::ZERO,
-            hires: BTreeMap::new(),
-            backoff: BTreeMap::new(),
-            returning: BTreeMap::new(),
-            return_out: Vec::new(),
-            returned: BTreeSet::new(),
-            writing: false,
-            wait_for: Stamp(0),
-            credits: BTreeMap::new(),
-            shapes: Vec::new(),
-        }
-    }
-
     /// Hires that an earlier leader recorded are repeated under their names.
     fn adopt_hires(&mut self, now: Micros, mirror: &Mirror) {
         for (name, (_, rec)) in &mirror.hires {
@@ -264,7 +229,6 @@
     /// goes out, what was given up moves on.
     fn change_machines(
         &mut self,
-        _now: Micros,
         mirror: &Mirror,
         leader: &Cond,
         news: &BTreeMap<BlockId, BlockNews>,
@@ -302,19 +266,15 @@
                 blocks[0]
             };
             for id in ids.iter().filter(|id| !everywhere.contains(*id)) {
-                let rec = MachineRec {
-                    addr: self
-                        .list
+                let rec = MachineRec::blank(
+                    self.list
                         .get(id)
                         .and_then(|l| l.addr.clone())
                         .unwrap_or_default(),
-                    build: hire.build.clone(),
-                    zone: hire.zone.clone(),
-                    spot: hire.spot,
-                    term: Term(0),
-                    used: false,
-                    freed: None,
-                };
+                    &hire.build,
+                    &hire.zone,
+                    hire.spot,
+                );
                 recs.get_mut(&block).map(|r| r.0.insert(id.clone(), rec));
             }
             settled.push(name.clone());
@@ -359,15 +319,12 @@
             }
             let to = neediest(&recs, news, mirror, &m.build, &m.zone, m.spot)?;
             tracing::info!(machine = %m.id, block = %to, "adopted");
-            let rec = MachineRec {
-                addr: m.addr.clone().unwrap_or_default(),
-                build: m.build.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                term: Term(0),
-                used: false,
-                freed: None,
-            };
+            let rec = MachineRec::blank(
+                m.addr.clone().unwrap_or_default(),
+                &m.build,
+                &m.zone,
+                m.spot,
+            );
             recs.get_mut(&to).map(|r| r.0.insert(m.id.clone(), rec));
         }
         // Machines given up for others: to where they are lacking, or back.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -514,7 +514,8 @@
 }
 
 /// Decides what to stop: for work of a higher rank, or so that a team gets its
-/// guarantee from one that runs above its own. Only if more is won than lost.
+/// guarantee from one that runs above its own. Only if little is lost for what is
+/// won (`WORTH_IT`).
 pub fn preempt(
     scene: &Scene<'_>,
     rebuilding: Option<crate::ids::Term>,
