--- /dev/null
+++ b/src/api/desk.rs
@@ -0,0 +1,240 @@
+//! Answers how a job stands, as fresh as a read of its own and at a bounded rate.
+//!
+//! A question waits for the next reading of the store's changes that was begun
+//! after it came: one reading serves all questions waiting. A live job is then
+//! answered from the mirror, which is as new as that reading. For any other the
+//! record of ended jobs is read, in this order, since jobs only ever move from
+//! live to ended, in one transaction: none is missed. How a job ended never
+//! changes, so it is remembered.
+
+use crate::clock::Micros;
+use crate::ids::{JobId, Stamp};
+use crate::jobs::{EndedRec, Standing};
+use crate::store::Reply;
+use crate::store::mirror::Mirror;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How a job stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Found {
+    Live {
+        stamp: Stamp,
+        standing: Standing,
+        tasks: u32,
+        done: u32,
+        running: u32,
+    },
+    Ended(EndedRec),
+    /// No such job.
+    Nothing,
+    /// It can't be told now.
+    Unreadable,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Found(u64, Found),
+    ReadEnded(JobId),
+}
+
+struct Question {
+    ticket: u64,
+    id: JobId,
+    at: Micros,
+}
+
+/// Questions that wait for a reading, and how jobs ended that were asked about.
+#[derive(Default)]
+pub struct Desk {
+    waiting: Vec<Question>,
+    /// Their record of ended jobs is being read.
+    reading: BTreeMap<JobId, Vec<u64>>,
+    ended: BTreeMap<JobId, EndedRec>,
+    order: VecDeque<JobId>,
+}
+
+/// Users wait for 2 s: what can't be told by then is refused before.
+const PATIENCE: Micros = Micros::from_millis(1_500);
+const MOST_WAITING: usize = 2_000;
+const MOST_REMEMBERED: usize = 20_000;
+
+impl Desk {
+    /// A question. `hopeful`: readings have come of late.
+    pub fn ask(&mut self, now: Micros, id: JobId, ticket: u64, hopeful: bool) -> Option<Effect> {
+        if let Some(rec) = self.ended.get(&id) {
+            return Some(Effect::Found(ticket, Found::Ended(rec.clone())));
+        }
+        if !hopeful || self.waiting.len() >= MOST_WAITING {
+            return Some(Effect::Found(ticket, Found::Unreadable));
+        }
+        self.waiting.push(Question {
+            ticket,
+            id,
+            at: now,
+        });
+        None
+    }
+
+    /// The mirror has reached what a reading asked for at `sent` gave.
+    pub fn reading(&mut self, sent: Micros, mirror: &Mirror) -> Vec<Effect> {
+        let mut out = Vec::new();
+        for q in std::mem::take(&mut self.waiting) {
+            if q.at > sent {
+                // That reading may be older than what another node has told since.
+                self.waiting.push(q);
+                continue;
+            }
+            match live(&q.id, mirror) {
+                Some(found) => out.push(Effect::Found(q.ticket, found)),
+                None => {
+                    let tickets = self.reading.entry(q.id.clone()).or_default();
+                    tickets.push(q.ticket);
+                    if tickets.len() == 1 {
+                        out.push(Effect::ReadEnded(q.id));
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    /// The record of an ended job was read.
+    pub fn ended(&mut self, id: JobId, reply: &Reply) -> Vec<Effect> {
+        let found = match reply {
+            Reply::Found(row) => serde_json::from_value::<EndedRec>(row.value.clone())
+                .map_or(Found::Unreadable, Found::Ended),
+            Reply::Missing => Found::Nothing,
+            _ => Found::Unreadable,
+        };
+        if let Found::Ended(rec) = &found
+            && self.ended.insert(id.clone(), rec.clone()).is_none()
+        {
+            self.order.push_back(id.clone());
+            if self.order.len() > MOST_REMEMBERED
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.ended.remove(&oldest);
+            }
+        }
+        let tickets = self.reading.remove(&id).unwrap_or_default();
+        let tell = |t| Effect::Found(t, found.clone());
+        tickets.into_iter().map(tell).collect()
+    }
+
+    /// Refuses what has waited for too long.
+    pub fn expire(&mut self, now: Micros) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.waiting.retain(|q| {
+            let keep = now.since(q.at) < PATIENCE;
+            if !keep {
+                out.push(Effect::Found(q.ticket, Found::Unreadable));
+            }
+            keep
+        });
+        out
+    }
+}
+
+fn live(id: &JobId, mirror: &Mirror) -> Option<Found> {
+    let (stamp, rec) = mirror.jobs.get(id)?;
+    let (mut done, mut running) = (0, 0);
+    for (_, _, page) in mirror.progress(id) {
+        done += page.done.iter().map(|(a, b)| b - a).sum::<u32>();
+        running += page.running;
+    }
+    Some(Found::Live {
+        stamp: *stamp,
+        standing: if running > 0 {
+            Standing::Running
+        } else {
+            Standing::Pending
+        },
+        tasks: rec.desc.tasks,
+        done,
+        running,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::{Change, Row};
+
+    fn secs(s: f64) -> Micros {
+        Micros::from_secs(s)
+    }
+
+    #[test]
+    fn a_question_waits_for_a_reading_begun_after_it() {
+        let mut d = Desk::default();
+        let mirror = Mirror::default();
+        assert_eq!(d.ask(secs(2.0), "j-1".into(), 7, true), None);
+        // Begun before: another node may have accepted the job in between.
+        assert_eq!(d.reading(secs(1.9), &mirror), vec![]);
+        let read = d.reading(secs(2.1), &mirror);
+        assert_eq!(read, vec![Effect::ReadEnded("j-1".into())]);
+        let told = d.ended("j-1".into(), &Reply::Missing);
+        assert_eq!(told, vec![Effect::Found(7, Found::Nothing)]);
+        // Nothing is not remembered: it may be submitted any time.
+        assert_eq!(d.ask(secs(3.0), "j-1".into(), 8, true), None);
+    }
+
+    #[test]
+    fn one_reading_answers_all_and_an_end_is_remembered() {
+        let mut d = Desk::default();
+        let mut mirror = Mirror::default();
+        let rec = crate::jobs::tests::rec("j-1", 4, crate::ids::Term(1));
+        let change = |set: &str, value, stamp| Change {
+            set: Some(set.into()),
+            delete: None,
+            value,
+            stamp: Stamp(stamp),
+        };
+        let value = serde_json::to_value(&rec).expect("a record");
+        mirror.change(change("r/jobs/j-1", value, 3));
+        let page = serde_json::json!({"owner": "c0", "done": [[0, 2]], "running": 1});
+        mirror.change(change("r/done/j-1/0000", page, 4));
+        for t in 0..100 {
+            assert_eq!(d.ask(secs(2.0), "j-1".into(), t, true), None);
+            assert_eq!(d.ask(secs(2.0), "j-2".into(), 100 + t, true), None);
+        }
+        let told = d.reading(secs(2.0), &mirror);
+        let reads = told.iter().filter(|e| matches!(e, Effect::ReadEnded(_)));
+        assert_eq!(
+            (told.len(), reads.count()),
+            (101, 1),
+            "one read, not a hundred"
+        );
+        assert!(told.iter().any(|e| matches!(
+            e,
+            Effect::Found(
+                0,
+                Found::Live {
+                    standing: Standing::Running,
+                    done: 2,
+                    running: 1,
+                    ..
+                }
+            )
+        )));
+        let row = Row {
+            key: "ended/j-2".into(),
+            value: serde_json::json!({"standing": "done", "tasks": 4}),
+            stamp: Stamp(5),
+        };
+        assert_eq!(d.ended("j-2".into(), &Reply::Found(row)).len(), 100);
+        let told = d.ask(secs(9.0), "j-2".into(), 1, false);
+        assert!(matches!(told, Some(Effect::Found(1, Found::Ended(_)))));
+    }
+
+    #[test]
+    fn without_readings_questions_are_refused_at_once_or_soon() {
+        let mut d = Desk::default();
+        let refused = Some(Effect::Found(1, Found::Unreadable));
+        assert_eq!(d.ask(secs(2.0), "j-1".into(), 1, false), refused);
+        assert_eq!(d.ask(secs(2.0), "j-1".into(), 2, true), None);
+        assert_eq!(d.expire(secs(3.0)), vec![]);
+        let late = d.expire(secs(3.5));
+        assert_eq!(late, vec![Effect::Found(2, Found::Unreadable)]);
+    }
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -1,13 +1,16 @@
 //! HTTP for users, workers and health checks.
 
+pub mod desk;
+
 use crate::clock::time_of_day;
 use crate::controller::core::{Answer, View};
-use crate::controller::{Arrived, Question};
+use crate::controller::{Arrived, Asked, Question};
 use crate::ids::{JobId, Stamp};
 use crate::jobs::{EndedRec, JobDesc, JobRec, Refusal, Standing};
 use crate::settings::Settings;
 use crate::store::{self, Reply, Request as Ask, cond, keys};
 use crate::workers::Report;
+use desk::Found;
 use salvo::conn::{Listener, TcpListener};
 use salvo::http::StatusCode;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -28,6 +31,7 @@
     view: watch::Receiver<Arc<View>>,
     questions: mpsc::Sender<Question>,
     reports: mpsc::Sender<Arrived>,
+    asks: mpsc::Sender<Asked>,
 }
 
 /// What a user is told.
@@ -80,14 +84,6 @@
 
 const NO_STORE: Told = Told::Later("the state service can't be reached");
 
-/// How a job stands, as the store has it now.
-enum Found {
-    Live(Stamp, Box<JobRec>),
-    Ended(EndedRec),
-    Nothing,
-    Unreadable,
-}
-
 impl Api {
     async fn ask(&self, request: Ask) -> Reply {
         let (answer, got) = oneshot::channel();
@@ -105,29 +101,16 @@
         }
     }
 
-    /// Reads the store: a view that lags might give an older answer than one
-    /// that some node has given before.
+    /// As fresh as a read of the store: a view that lags might give an older answer
+    /// than one that some node has given before.
     async fn find(&self, id: &JobId) -> Found {
-        match self.ask(Ask::Get { key: keys::job(id) }).await {
-            Reply::Found(row) => match serde_json::from_value(row.value) {
-                Ok(rec) => return Found::Live(row.stamp, Box::new(rec)),
-                Err(_) => return Found::Unreadable,
-            },
-            Reply::Missing => {}
-            _ => return Found::Unreadable,
+        let (answer, got) = oneshot::channel();
+        let id = id.clone();
+        if self.asks.try_send(Asked { id, answer }).is_err() {
+            return Found::Unreadable;
         }
-        // Jobs only ever move from live to ended, in one write: read in this
-        // order, none is missed.
-        match self
-            .ask(Ask::Get {
-                key: keys::ended(id),
-            })
-            .await
-        {
-            Reply::Found(row) => {
-                serde_json::from_value(row.value).map_or(Found::Unreadable, Found::Ended)
-            }
-            Reply::Missing => Found::Nothing,
+        match tokio::time::timeout(Duration::from_millis(1_900), got).await {
+            Ok(Ok(found)) => found,
             _ => Found::Unreadable,
         }
     }
@@ -157,10 +140,6 @@
                 desc: job.clone(),
                 at: time_of_day(),
                 born,
-                owner: None,
-                done: vec![],
-                done_count: 0,
-                running: 0,
             };
             let conds = vec![
                 cond(keys::job(&job.id), Stamp(0)),
@@ -212,15 +191,15 @@
             return Told::No(404, "no such job".into());
         }
         for _ in 0..TRIES {
-            let (stamp, rec) = match self.find(&id).await {
-                Found::Live(stamp, rec) => (stamp, rec),
+            let (stamp, tasks) = match self.find(&id).await {
+                Found::Live { stamp, tasks, .. } => (stamp, tasks),
                 Found::Nothing => return Told::No(404, "no such job".into()),
                 Found::Unreadable => return NO_STORE,
                 found => return known(found, &id),
             };
             let ended = EndedRec {
                 standing: Standing::Cancelled,
-                tasks: rec.desc.tasks,
+                tasks,
             };
             let conds = vec![
                 cond(keys::job(&id), stamp),
@@ -239,7 +218,7 @@
                         counts: None,
                     };
                 }
-                // Its owner wrote in between.
+                // It ended in between.
                 Reply::Conflict(_) => {}
                 _ => return NO_STORE,
             }
@@ -273,11 +252,16 @@
 /// The answer about a job that the store has.
 fn known(found: Found, id: &JobId) -> Told {
     match found {
-        Found::Live(_, rec) => Told::Job {
+        Found::Live {
+            standing,
+            done,
+            running,
+            ..
+        } => Told::Job {
             status: 200,
             id: id.clone(),
-            standing: rec.standing(),
-            counts: Some((rec.done_count, rec.running)),
+            standing,
+            counts: Some((done, running)),
         },
         Found::Ended(e) => {
             let done = if e.standing == Standing::Done {
@@ -367,6 +351,7 @@
     view: watch::Receiver<Arc<View>>,
     questions: mpsc::Sender<Question>,
     reports: mpsc::Sender<Arrived>,
+    asks: mpsc::Sender<Asked>,
 ) -> Result<(), String> {
     let bind = settings.bind;
     let api = Api {
@@ -374,6 +359,7 @@
         view,
         questions,
         reports,
+        asks,
     };
     let router = Router::new()
         .push(Router::with_path("v1/jobs").post(Submit(api.clone())))
--- /dev/null
+++ b/src/blocks/holder/mod.rs
@@ -0,0 +1,510 @@
+//! A block in its holder's hands: its teams' jobs, its machines, and what is
+//! decided about them. Everything that must be decided together (a team's
+//! limit, zones, one machine per task) is decided here, in one place.
+
+mod records;
+mod reports;
+mod starts;
+
+use super::{Freed, HolderRec, MachinesRec};
+use crate::clock::Micros;
+use crate::fairness::{Res, Weights};
+use crate::fleet::MachineType;
+use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
+use crate::jobs::{Job, page_tasks};
+use crate::placement::{self, Coming, Need, Queues, Scene};
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::store::client::Bucket;
+use crate::store::mirror::Mirror;
+use crate::store::{Cond, Op};
+use crate::workers::{Direct, Key, Leaving, Machine, Phase};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// A write of this holder, as it comes back with its answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    /// Jobs that are over.
+    Ends {
+        ids: Vec<JobId>,
+        reap: Vec<(MachineId, Key)>,
+    },
+    /// Pages of jobs' progress.
+    Progress {
+        jobs: Vec<(JobId, Vec<u32>)>,
+        reap: Vec<(MachineId, Key)>,
+    },
+    GiveUp(Vec<MachineId>),
+    /// Machines that are used from now on.
+    Open(Vec<MachineId>),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Txn(Write, Vec<Cond>, Vec<Op>),
+    Do(MachineId, String, Direct),
+}
+
+pub struct Holder {
+    pub block: BlockId,
+    pub term: Term,
+    stamp: Stamp,
+    me: Label,
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    teams: Vec<usize>,
+    pub granted: Micros,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub jobs: BTreeMap<JobId, Job>,
+    /// The teams' sums over the machines' loads, changed with each of them.
+    weights: Weights,
+    rebuilding: bool,
+    counter: u64,
+    /// Ends that are not stored yet, by job: reaped once they are.
+    unreaped: BTreeMap<JobId, Vec<(MachineId, Key)>>,
+    /// Jobs that may have something to be stored.
+    dirty: BTreeSet<JobId>,
+    /// Progress gives way to all other changes.
+    progress: Bucket,
+    /// Machines that may have to be told something directly.
+    errands: BTreeSet<MachineId>,
+    directs_out: usize,
+    /// The order of waiting jobs, as the last pass over the block left it.
+    queues: Queues,
+    writing_machines: bool,
+    /// Something changed that a pass over the block should look at.
+    stir: bool,
+    next_pass: Micros,
+    last_preempt: Micros,
+    last_look: Micros,
+    last_tick: Micros,
+    /// We were late ourselves: silence until then says nothing about machines.
+    stalled: Micros,
+    last_heard: Micros,
+    last_give_up: Micros,
+    last_open: Micros,
+    /// Machines that were compared with a class, for counting what passes cost.
+    pub looked_at: usize,
+}
+
+const NEVER_HEARD: Micros = Micros::from_millis(180_000);
+/// What does not depend on messages is looked at this often.
+const LOOK: Micros = Micros::from_millis(500);
+/// Ticks that come later than this say that we have too little processor time.
+const LATE: Micros = Micros::from_millis(1_500);
+const STALLED: Micros = Micros::from_millis(5_000);
+
+impl Holder {
+    pub fn new(
+        block: BlockId,
+        rec: &HolderRec,
+        stamp: Stamp,
+        settings: &Rc<Settings>,
+        policy: &Rc<Policy>,
+        now: Micros,
+    ) -> Self {
+        let teams: Vec<usize> = rec.teams.iter().filter_map(|t| settings.team(t)).collect();
+        // All blocks together leave most changes to what can't wait.
+        let rate = settings.platform.state.write_rps * PROGRESS_PART;
+        Holder {
+            block,
+            term: rec.term,
+            stamp,
+            me: settings.label.clone(),
+            settings: settings.clone(),
+            policy: policy.clone(),
+            granted: now,
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            weights: Weights::new(&teams),
+            teams,
+            rebuilding: false,
+            counter: 0,
+            unreaped: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            progress: Bucket::new(rate / policy.blocks(settings) as f64, now),
+            errands: BTreeSet::new(),
+            directs_out: 0,
+            queues: Queues::new(),
+            writing_machines: false,
+            stir: true,
+            next_pass: now,
+            last_preempt: now,
+            last_look: now,
+            last_tick: now,
+            stalled: Micros::ZERO,
+            last_heard: now,
+            last_give_up: Micros::ZERO,
+            last_open: Micros::ZERO,
+            looked_at: 0,
+        }
+    }
+
+    /// Takes over what the mirror has. What ran before is learnt from reports:
+    /// until a machine has reported under our token, it may run anything.
+    pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
+        self.sync_machines(now, mirror, types, true);
+        let ids: Vec<JobId> = mirror.jobs.keys().cloned().collect();
+        for id in ids {
+            self.sync_job(&id, mirror);
+        }
+    }
+
+    /// The block's machines changed in the store.
+    pub fn sync_machines(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        types: &[MachineType],
+        at_grant: bool,
+    ) {
+        let kept = |id: &MachineId| {
+            mirror
+                .machine(id)
+                .is_some_and(|((b, _), r)| b == self.block && r.freed.is_none())
+        };
+        let lost: Vec<MachineId> = self
+            .machines
+            .keys()
+            .filter(|id| !kept(id))
+            .cloned()
+            .collect();
+        for id in lost {
+            // The leader takes a machine out only after the cloud has said that it
+            // and all that was on it are gone; or we gave it up, idle.
+            if let Some(mut m) = self.machines.remove(&id) {
+                self.weights.remove(&m.load, m.capacity);
+                let keys = m.over();
+                tracing::info!(block = %self.block, machine = %id, lost = keys.len(), "machine left the block");
+                for key in keys {
+                    self.requeue(&key, &id);
+                }
+            }
+        }
+        let shards = mirror.shards(self.block);
+        let rows =
+            shards.flat_map(|(_, stamp, rec)| rec.0.iter().map(move |(id, r)| (stamp, id, r)));
+        for (stamp, id, r) in rows.filter(|(_, _, r)| r.freed.is_none()) {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.used |= r.used;
+                if m.leaving == Leaving::Unsure && stamp > m.left_at {
+                    // The shard has changed since: the late write fails by itself.
+                    m.leaving = Leaving::No;
+                }
+                continue;
+            }
+            let build = types.iter().find(|t| t.name == r.build);
+            let capacity = build.map_or(Res::default(), MachineType::capacity);
+            let term = self.term.max(r.term);
+            let mut m = Machine::new(now, term, &r.build, &r.zone, r.spot, capacity, &r.addr);
+            m.unsettled = at_grant && r.used;
+            m.used = r.used;
+            m.fetch = build.map_or(1.0, |t| t.fetch_gb_per_s);
+            m.load = m.count_load();
+            self.weights.add(&m.load, m.capacity);
+            self.machines.insert(id.clone(), m);
+        }
+        self.count_unsettled();
+        self.stir = true;
+    }
+
+    /// A job changed in the store.
+    pub fn sync_job(&mut self, id: &JobId, mirror: &Mirror) {
+        let Some((stamp, rec)) = mirror.jobs.get(id) else {
+            if let Some(job) = self.jobs.remove(id) {
+                self.stir = true;
+                self.unreaped.remove(id);
+                if !job.ended {
+                    tracing::info!(block = %self.block, job = %id, "job ended elsewhere: cancelled");
+                }
+                self.stop_job(id);
+            }
+            return;
+        };
+        let team = self.settings.team(&rec.desc.team);
+        let Some(team) = team.filter(|t| self.teams.contains(t)) else {
+            return;
+        };
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        let page = page_tasks(self.settings.platform.state.value_kb);
+        let mut job = Job::new(rec, *stamp, team, page);
+        for (n, stamp, rec) in mirror.progress(id) {
+            job.recall(n, stamp, rec);
+        }
+        // A job whose last task was stored but not its end is ended by us.
+        self.dirty.insert(id.clone());
+        self.jobs.insert(id.clone(), job);
+        self.stir = true;
+    }
+
+    /// A page of a job's progress changed: by our own write, one without an answer
+    /// included.
+    pub fn sync_page(&mut self, id: &JobId, page: u32, mirror: &Mirror) {
+        if let Some((stamp, _)) = mirror.pages.get(&(id.clone(), page))
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            job.page_changed(page, *stamp);
+        }
+    }
+
+    /// Stops all that a cancelled job has, or may have, on machines.
+    fn stop_job(&mut self, id: &JobId) {
+        for (at, m) in &mut self.machines {
+            if !m.tries.keys().any(|(t, _)| t.job == *id) {
+                continue;
+            }
+            m.stop(0.0, |(t, _)| t.job == *id);
+            for ((t, _), a) in &mut m.tries {
+                a.reap |= t.job == *id;
+            }
+            self.errands.insert(at.clone());
+        }
+    }
+
+    /// Whether machines of the take-over are still to report.
+    pub fn rebuilding(&self) -> bool {
+        self.rebuilding
+    }
+
+    fn count_unsettled(&mut self) {
+        self.rebuilding = self.machines.values().any(|m| m.unsettled);
+    }
+
+    /// An attempt is over without a result.
+    fn requeue(&mut self, key: &Key, on: &MachineId) {
+        if let Some(job) = self.jobs.get_mut(&key.0.job)
+            && job.active.get(&key.0.index) == Some(on)
+        {
+            job.requeue(key.0.index);
+            self.dirty.insert(key.0.job.clone());
+        }
+        self.stir = true;
+    }
+
+    /// The attempts on a machine changed: so do the sums.
+    fn reweigh(&mut self, id: &MachineId) {
+        if let Some(m) = self.machines.get_mut(id) {
+            let load = m.count_load();
+            if load != m.load {
+                self.weights.remove(&m.load, m.capacity);
+                self.weights.add(&load, m.capacity);
+                m.load = load;
+            }
+        }
+    }
+
+    fn scene<'a>(&'a self, now: Micros, day: Micros, fleet: Res) -> Scene<'a> {
+        Scene {
+            settings: &self.settings,
+            fleet,
+            now,
+            day,
+            jobs: &self.jobs,
+            machines: &self.machines,
+            teams: &self.teams,
+            weights: &self.weights,
+            rebuilding: self.rebuilding.then_some(self.term),
+            heard_within: self.heard_within(),
+        }
+    }
+
+    fn reports_of(&self, n: f64) -> Micros {
+        Micros::from_secs(self.settings.platform.workers.report_s * n)
+    }
+
+    /// How long after its last report a machine may still be sent tasks.
+    fn heard_within(&self) -> Micros {
+        self.reports_of(2.2)
+    }
+
+    /// After this silence a machine is returned.
+    fn silence(&self) -> Micros {
+        self.policy.silent.max(self.reports_of(2.2))
+    }
+
+    /// Machines that are to be returned get nothing more to do.
+    pub fn condemn(&mut self, dead: &[MachineId]) {
+        for id in dead {
+            // What was never heard may still be booting.
+            if let Some(m) = self.machines.get_mut(id).filter(|m| m.last_heard.is_some()) {
+                m.draining = true;
+            }
+        }
+    }
+
+    /// What time alone changes.
+    pub fn tick(&mut self, now: Micros, day: Micros, fleet: Res) {
+        if now.since(self.last_tick) > LATE {
+            self.stalled = now + STALLED;
+        }
+        self.last_tick = now;
+        if now.since(self.last_look) >= LOOK {
+            self.last_look = now;
+            self.look(now);
+        }
+        self.decide(now, day, fleet);
+    }
+
+    /// Leases that ran out, machines that should be asked for a sign of life, and
+    /// those that the cloud is about to take.
+    fn look(&mut self, now: Micros) {
+        let over_after = self.settings.worker_over();
+        let (intro, quiet, silence) = (
+            now.since(self.granted) > INTRODUCE_AFTER,
+            self.reports_of(1.4) + LOOK,
+            self.silence(),
+        );
+        let (mut over, mut ended) = (Vec::new(), Vec::new());
+        for (id, m) in &mut self.machines {
+            let busy = m.unsettled || m.tries.values().any(|t| t.phase != Phase::Exited);
+            // Counted from the grant for a machine that never answered us: until
+            // then an earlier holder can have answered it.
+            if busy && now.since(m.last_answer.max(m.added)) > over_after {
+                tracing::info!(block = %self.block, machine = %id, "worker's lease is over");
+                ended.extend(m.over().into_iter().map(|k| (k, id.clone())));
+                over.push(id.clone());
+            }
+            let since = m.last_heard.map_or(Micros::ZERO, |h| now.since(h));
+            if since > quiet && since < silence {
+                // Better to know before something is started there.
+                m.doubt = true;
+            }
+            if m.doubt || m.unsettled && intro {
+                self.errands.insert(id.clone());
+            }
+            if let Some(at) = m.taken_at {
+                // What saves does so just before the cloud takes the machine.
+                let saves =
+                    |t: &crate::workers::Try| t.desc.as_ref().map(|d| (d.checkpoint_s, d.save_s));
+                let due: Vec<(Key, f64)> = m
+                    .tries
+                    .iter()
+                    .filter(|(_, t)| t.phase == Phase::Running && t.halt.is_none())
+                    .filter_map(|(k, t)| Some((k, saves(t)?)))
+                    .filter(|(_, (mark, save))| {
+                        *mark > 0.0 && at.since(now) < Micros::from_secs(save + NOTICE_MARGIN_S)
+                    })
+                    .map(|(k, (_, save))| (k.clone(), save))
+                    .collect();
+                for (key, save) in due {
+                    m.stop(save, |k| *k == key);
+                    self.errands.insert(id.clone());
+                }
+            }
+        }
+        for id in over {
+            self.reweigh(&id);
+        }
+        for (key, id) in ended {
+            self.requeue(&key, &id);
+        }
+        self.count_unsettled();
+        // Back-off ends, slack shrinks, and machines change without any message.
+        self.stir |= self.jobs.values().any(|j| !j.waiting.is_empty());
+    }
+
+    /// Nothing of the block is heard any more: it is we who are cut off.
+    pub fn deaf(&self, now: Micros) -> bool {
+        let known = self
+            .machines
+            .values()
+            .filter(|m| m.last_heard.is_some())
+            .count();
+        known >= 2
+            && now.since(self.last_heard) > Micros::from_millis(8_000).max(self.reports_of(1.5))
+    }
+
+    /// Machines that should be returned: silent ones, suspects that do not hear us,
+    /// and drained ones that failed.
+    pub fn dead(&self, now: Micros) -> Vec<MachineId> {
+        // If none is heard, the fault is ours and not theirs.
+        if self.machines.len() > 1 && now.since(self.last_heard) > Micros::from_millis(4_000)
+            || now < self.stalled
+        {
+            return Vec::new();
+        }
+        let (silence, unsettled) = (
+            self.silence(),
+            Micros::from_millis(6_000).max(self.reports_of(1.6)),
+        );
+        let silent = |m: &Machine| match m.last_heard {
+            Some(h) => now.since(h.max(self.granted).max(m.added)) > silence,
+            // Old jobs wait for it, and a live one answers our direct word at once.
+            None if m.unsettled => now.since(m.added) > unsettled,
+            None => now.since(m.added) > NEVER_HEARD,
+        };
+        let failed = |m: &Machine| m.draining && m.tries.values().all(|t| t.phase == Phase::Exited);
+        let dead = self
+            .machines
+            .iter()
+            .filter(|(_, m)| silent(m) || m.suspect() || failed(m));
+        // Should so many be silent at once, the first to go show whether it is them.
+        let most = 2 + self.machines.len() / 10;
+        dead.map(|(id, _)| id.clone()).take(most).collect()
+    }
+
+    /// The room that waiting work lacks.
+    pub fn needs(&self, now: Micros, day: Micros, fleet: Res) -> Vec<Need> {
+        let mut coming: Vec<Coming<'_>> = Vec::new();
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.last_heard.is_none() && m.leaving == Leaving::No && !m.draining)
+        {
+            let alike = |c: &&mut Coming<'_>| c.1 == m.build && c.2 == m.zone && c.3 == m.spot;
+            match coming.iter_mut().find(alike) {
+                Some(c) => c.4 += 1,
+                None => coming.push((m.capacity, &m.build, &m.zone, m.spot, 1)),
+            }
+        }
+        placement::needs(
+            &self.scene(now, day, fleet),
+            &coming,
+            self.policy.rent_horizon,
+        )
+    }
+
+    /// A line for operators on how the block is used.
+    pub fn log_use(&self, now: Micros) {
+        let heard = self.heard_within();
+        let usable = |m: &&Machine| placement::usable(m, now, heard);
+        let cores =
+            |ms: &mut dyn Iterator<Item = &Machine>| ms.map(|m| m.capacity.cores).sum::<f64>();
+        let used: f64 = self.machines.values().map(|m| m.load.summed.cores).sum();
+        let up = cores(&mut self.machines.values().filter(usable));
+        let booting = cores(&mut self.machines.values().filter(|m| m.last_heard.is_none()));
+        let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.ended) {
+            *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
+        }
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), errands = self.errands.len(), looked_at = self.looked_at, "use");
+    }
+
+    /// Each team's heaviness, for the sums; they are made anew from the machines'
+    /// loads each time, so that no rounding adds up.
+    pub fn sums(&mut self, fleet: Res) -> BTreeMap<String, f64> {
+        let mut weights = Weights::new(&self.teams);
+        for m in self.machines.values() {
+            weights.add(&m.load, m.capacity);
+        }
+        self.weights = weights;
+        let all = self.settings.guarantees();
+        let of = |t: &usize| {
+            let team = &self.settings.platform.teams[*t];
+            let heaviness = self.weights.heaviness(*t, team.guarantee(), all, fleet);
+            (team.name.clone(), heaviness)
+        };
+        self.teams.iter().map(of).collect()
+    }
+}
+
+/// Saving takes as long as the job says; orders and reports take this much more.
+const NOTICE_MARGIN_S: f64 = 3.0;
+/// Machines of a take-over report by themselves; those that have not by then are
+/// spoken to.
+const INTRODUCE_AFTER: Micros = Micros::from_millis(2_500);
+/// The part of the store's changes that progress may take, over all blocks.
+const PROGRESS_PART: f64 = 0.35;
--- /dev/null
+++ b/src/blocks/holder/records.rs
@@ -0,0 +1,337 @@
+//! What the holder records: jobs' ends and progress, machines in use or given up.
+
+use super::{Effect, Freed, Holder, MachinesRec, Write};
+use crate::blocks::HolderRec;
+use crate::clock::Micros;
+use crate::ids::{JobId, MachineId, Stamp};
+use crate::placement::{self, Need};
+use crate::store::mirror::Mirror;
+use crate::store::{self, Cond, Op, Reply, cond, keys};
+use crate::workers::{Key, Leaving, Machine};
+
+/// A job's progress is batched for this long, and longer where all blocks' progress
+/// would take more of the store's changes than its part.
+const PROGRESS_GAP: Micros = Micros::from_millis(2_000);
+/// After a write that was refused or had no answer; the watch tells the stamps.
+const AGAIN: Micros = Micros::from_millis(400);
+const OPEN_GAP: Micros = Micros::from_millis(700);
+const GIVE_UP_GAP: Micros = Micros::from_millis(500);
+/// Less than the 64 KiB that a transaction may have.
+const TXN_BYTES: usize = 40 * 1024;
+
+impl Holder {
+    /// Batches of job changes for the store: ends at once, then progress.
+    pub fn writes(&mut self, now: Micros) -> Vec<Effect> {
+        let dirty: Vec<JobId> = self.dirty.iter().cloned().collect();
+        let (mut ends, mut due) = (Vec::new(), Vec::new());
+        for id in dirty {
+            match self.jobs.get(&id) {
+                Some(job) if !job.ended => {
+                    if job.wants_write(now) {
+                        if job.all_done() {
+                            ends.push(id);
+                        } else {
+                            due.push((job.write_after, id));
+                        }
+                    } else if !job.writing && now >= job.write_after {
+                        self.dirty.remove(&id);
+                    }
+                }
+                _ => {
+                    self.dirty.remove(&id);
+                }
+            }
+        }
+        let mut out = Vec::new();
+        out.extend(self.write_ends(ends));
+        due.sort();
+        out.extend(self.write_progress(now, due));
+        out
+    }
+
+    fn own(&self) -> Cond {
+        cond(keys::holder(self.block), self.stamp)
+    }
+
+    fn write_ends(&mut self, ends: Vec<JobId>) -> Option<Effect> {
+        let budget = self.settings.most_changes();
+        let (mut ids, mut reap) = (Vec::new(), Vec::new());
+        let (mut conds, mut ops) = (vec![self.own()], Vec::new());
+        for id in ends {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if ops.len() + 3 > budget {
+                break;
+            }
+            let (c, o) = job.end_ops(budget - ops.len());
+            conds.extend(c);
+            ops.extend(o);
+            job.writing = true;
+            reap.extend(self.unreaped.remove(&id).unwrap_or_default());
+            ids.push(id);
+        }
+        (!ids.is_empty()).then_some(Effect::Txn(Write::Ends { ids, reap }, conds, ops))
+    }
+
+    fn write_progress(&mut self, now: Micros, due: Vec<(Micros, JobId)>) -> Option<Effect> {
+        let budget = self.settings.most_changes();
+        let (mut jobs, mut reap) = (Vec::new(), Vec::new());
+        let (mut conds, mut ops, mut bytes) = (vec![self.own()], Vec::new(), 0);
+        for (_, id) in due {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if ops.len() >= budget || bytes > TXN_BYTES || !self.progress.take(now, 1.0, 0.0) {
+                break;
+            }
+            let (c, o, pages) = job.progress_ops(&self.me, (budget - ops.len()).min(4));
+            if pages.is_empty() {
+                continue;
+            }
+            bytes += o.iter().map(op_size).sum::<usize>();
+            conds.extend(c);
+            ops.extend(o);
+            job.writing = true;
+            job.write_after = now + PROGRESS_GAP;
+            if job.clean() {
+                reap.extend(self.unreaped.remove(&id).unwrap_or_default());
+            }
+            jobs.push((id, pages));
+        }
+        (!jobs.is_empty()).then_some(Effect::Txn(Write::Progress { jobs, reap }, conds, ops))
+    }
+
+    pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
+        match write {
+            Write::Ends { ids, reap } => {
+                for id in &ids {
+                    self.job_stored(now, id, &[], reply);
+                    if let Some(job) = self.jobs.get_mut(id)
+                        && matches!(reply, Reply::Committed(_))
+                    {
+                        job.ended = true;
+                        tracing::info!(block = %self.block, job = %id, "job done");
+                    }
+                }
+                self.reap(reap, reply);
+            }
+            Write::Progress { jobs, reap } => {
+                for (id, pages) in &jobs {
+                    self.job_stored(now, id, pages, reply);
+                }
+                self.reap(reap, reply);
+            }
+            Write::Open(ids) => {
+                self.writing_machines = false;
+                for id in ids.iter().filter(|_| matches!(reply, Reply::Committed(_))) {
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.used = true;
+                        self.stir = true;
+                    }
+                }
+            }
+            Write::GiveUp(ids) => {
+                self.writing_machines = false;
+                match reply {
+                    Reply::Committed(_) => self.leave(&ids, Leaving::Stored),
+                    // Surely not done, and it never will be: they stay ours.
+                    Reply::Conflict(_) | Reply::Refused => self.leave(&ids, Leaving::No),
+                    // It may still be done, so they are not used meanwhile.
+                    _ => self.leave(&ids, Leaving::Unsure),
+                }
+            }
+        }
+    }
+
+    fn leave(&mut self, ids: &[MachineId], to: Leaving) {
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                // What an earlier write left unsure, a later conflict can't settle.
+                if !(m.leaving == Leaving::Unsure && to == Leaving::No) {
+                    m.leaving = to;
+                }
+            }
+        }
+    }
+
+    fn job_stored(&mut self, now: Micros, id: &JobId, pages: &[u32], reply: &Reply) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.writing = false;
+        match reply {
+            Reply::Committed(stamp) => {
+                for page in pages {
+                    job.page_changed(*page, *stamp);
+                }
+            }
+            // A job's record never changes while the job lives: it was cancelled, or
+            // ended by our own write that had no answer. The watch will take it out;
+            // until then nothing of it starts.
+            Reply::Conflict(failed) if failed.contains(&keys::job(id)) => {
+                job.ended = true;
+                self.stop_job(id);
+            }
+            // Not carried out, or perhaps late: either way the stamps decide, and the
+            // watch tells them.
+            _ => {
+                job.unwritten(pages);
+                job.write_after = now + AGAIN;
+                self.dirty.insert(id.clone());
+            }
+        }
+    }
+
+    /// A worker forgets an attempt only once its end is stored.
+    fn reap(&mut self, reap: Vec<(MachineId, Key)>, reply: &Reply) {
+        for (machine, key) in reap {
+            if matches!(reply, Reply::Committed(_)) {
+                let m = self.machines.get_mut(&machine);
+                if let Some(t) = m.and_then(|m| m.tries.get_mut(&key)) {
+                    t.reap = true;
+                }
+            } else if self.jobs.contains_key(&key.0.job) {
+                self.unreaped
+                    .entry(key.0.job.clone())
+                    .or_default()
+                    .push((machine, key));
+            }
+        }
+    }
+
+    /// Changes shards by what `change` says of each machine: one write of as many
+    /// shards as a transaction takes. The rest follows in the next.
+    fn change_shards(
+        &mut self,
+        mirror: &Mirror,
+        mut change: impl FnMut(&MachineId, &mut Machine, &mut super::super::MachineRec) -> bool,
+        write: impl Fn(Vec<MachineId>) -> Write,
+    ) -> Option<Effect> {
+        let (mut ids, mut conds, mut ops, mut bytes) = (vec![], vec![self.own()], vec![], 0);
+        let most = self.settings.most_changes();
+        for (n, stamp, old) in mirror.shards(self.block) {
+            if ops.len() >= most || bytes > TXN_BYTES {
+                break;
+            }
+            let mut new: Option<MachinesRec> = None;
+            for (id, old_rec) in &old.0 {
+                let Some(m) = self.machines.get_mut(id) else {
+                    continue;
+                };
+                let mut rec = old_rec.clone();
+                if change(id, m, &mut rec) {
+                    m.left_at = stamp;
+                    new.get_or_insert_with(|| (**old).clone())
+                        .0
+                        .insert(id.clone(), rec);
+                    ids.push(id.clone());
+                }
+            }
+            if let Some(new) = new {
+                let key = keys::machines(self.block, n);
+                bytes += new.size();
+                conds.push(cond(key.clone(), stamp));
+                ops.push(store::set(key, &new));
+            }
+        }
+        if ids.is_empty() {
+            return None;
+        }
+        self.writing_machines = true;
+        Some(Effect::Txn(write(ids), conds, ops))
+    }
+
+    /// Records machines that were heard for the first time as used, before the
+    /// first launch there.
+    pub fn open(&mut self, now: Micros, mirror: &Mirror) -> Option<Effect> {
+        let new = |m: &Machine| !m.used && m.knocked && m.leaving == Leaving::No;
+        // Batched: many come up at once, and the mirror may lag behind our own last
+        // write, so that the next one would fail as fast as the store can answer.
+        if self.writing_machines
+            || now.since(self.last_open) < OPEN_GAP
+            || !self.machines.values().any(new)
+        {
+            return None;
+        }
+        self.last_open = now;
+        let open = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
+            let opens = new(m) && !rec.used;
+            if opens {
+                rec.used = true;
+                rec.addr.clone_from(&m.addr);
+            }
+            opens
+        };
+        self.change_shards(mirror, open, Write::Open)
+    }
+
+    /// Idle machines that go: to other blocks that lack room, or back.
+    pub fn give_up(
+        &mut self,
+        now: Micros,
+        mirror: &Mirror,
+        own: &[Need],
+        others: &[Need],
+    ) -> Option<Effect> {
+        if self.writing_machines || now.since(self.last_give_up) < GIVE_UP_GAP {
+            return None;
+        }
+        let mut lacking: Vec<(Need, u32)> = others.iter().map(|n| (n.clone(), n.count)).collect();
+        let (heard, idle_return) = (self.heard_within(), self.policy.idle_return);
+        let go = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
+            if m.leaving == Leaving::Unsure {
+                // Tried before without an answer: again, since it may be done.
+                rec.freed = Some(Freed::Return);
+                return true;
+            }
+            if !placement::usable(m, now, heard) || !m.empty() {
+                return false;
+            }
+            let idle = now.since(m.idle_since);
+            let fits = |n: &Need| n.fits(&m.build, &m.zone, m.spot, &m.capacity);
+            if idle >= idle_return {
+                rec.freed = Some(Freed::Return);
+            } else if idle >= Micros::from_millis(1_000) && !own.iter().any(fits) {
+                let Some(l) = lacking.iter_mut().find(|(n, left)| *left > 0 && fits(n)) else {
+                    return false;
+                };
+                l.1 = l.1.saturating_sub(l.0.request.times_in(&m.capacity));
+                rec.freed = Some(Freed::Move);
+            } else {
+                return false;
+            }
+            m.leaving = Leaving::Sent;
+            true
+        };
+        let effect = self.change_shards(mirror, go, Write::GiveUp)?;
+        self.last_give_up = now;
+        Some(effect)
+    }
+
+    /// The write by which this holder hands the whole block back.
+    pub fn resignation(&self) -> (Vec<Cond>, Vec<Op>) {
+        let teams = self
+            .teams
+            .iter()
+            .map(|t| self.settings.platform.teams[*t].name.clone())
+            .collect();
+        let rec = HolderRec {
+            holder: self.me.clone(),
+            incarnation: Stamp(0),
+            term: self.term,
+            teams,
+        };
+        (
+            vec![self.own()],
+            vec![store::set(keys::holder(self.block), &rec)],
+        )
+    }
+}
+
+fn op_size(op: &Op) -> usize {
+    match op {
+        Op::Set { value, .. } => value.to_string().len() + 64,
+        Op::Delete { .. } => 64,
+    }
+}
--- /dev/null
+++ b/src/blocks/holder/reports.rs
@@ -0,0 +1,228 @@
+//! What machines report, and what follows from it.
+
+use super::Holder;
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::ids::MachineId;
+use crate::workers::{Cause, Event, Key, Leaving, Orders, Phase, Report, Try};
+
+impl Holder {
+    /// A worker's report. None: it gets no valid answer from us.
+    pub fn check_in(&mut self, now: Micros, day: Micros, fleet: Res, r: &Report) -> Option<Orders> {
+        let counts = self.observe(now, r)?;
+        if counts {
+            self.refill(now, day, fleet, &r.machine);
+        }
+        let m = self.machines.get_mut(&r.machine)?;
+        m.answered(now, r);
+        Some(Orders {
+            baton: m.token(),
+            // What does not count gets the token and nothing else: the next report
+            // will show it.
+            orders: if counts { m.orders(true) } else { Vec::new() },
+        })
+    }
+
+    /// Takes in a check-in's report. None: it must not be answered as valid;
+    /// otherwise whether it counts.
+    fn observe(&mut self, now: Micros, r: &Report) -> Option<bool> {
+        let m = self
+            .machines
+            .get_mut(&r.machine)
+            .filter(|m| m.leaving == Leaving::No)?;
+        if !m.newer(r) {
+            // A late copy is older than what is known: it says nothing, not even
+            // that the machine lives.
+            m.uncounted(r);
+            if m.doubt {
+                self.errands.insert(r.machine.clone());
+            }
+            return None;
+        }
+        if r.baton > m.token() {
+            // Somebody holds this machine under a higher term: the worker would drop
+            // our answer, and stay here while its lease runs out.
+            return None;
+        }
+        if !m.shows_term(r) {
+            m.uncounted(r);
+            return Some(false);
+        }
+        self.take_in(now, r);
+        Some(true)
+    }
+
+    /// A report that counts.
+    fn take_in(&mut self, now: Micros, r: &Report) {
+        self.last_heard = now;
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return;
+        };
+        let was_unsettled = m.unsettled;
+        let events = m.observe(now, r);
+        let changed = was_unsettled || !events.is_empty();
+        for event in events {
+            self.event(now, &r.machine, event);
+        }
+        if changed {
+            self.reweigh(&r.machine);
+        }
+        if was_unsettled {
+            self.count_unsettled();
+        }
+        if was_unsettled && !self.rebuilding {
+            tracing::info!(block = %self.block, term = %self.term, after_s = now.since(self.granted).as_secs(), "taken over");
+            self.stir = true;
+        }
+    }
+
+    /// The answer to a `/do`, or none.
+    pub fn direct_answer(&mut self, now: Micros, id: &MachineId, answer: Option<Report>) {
+        self.directs_out = self.directs_out.saturating_sub(1);
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(r) = answer.filter(|r| r.machine == *id) else {
+            m.direct_lost();
+            return;
+        };
+        m.direct_out = false;
+        m.doubt = false;
+        // Refused for its session: send again under the right one. A higher
+        // token than ours means that we are fenced, so not then.
+        if r.baton <= m.token() {
+            m.tries
+                .values_mut()
+                .filter(|t| t.phase == Phase::Launching)
+                .for_each(|t| t.sent = false);
+        }
+        if m.is_reborn(&r) {
+            tracing::info!(block = %self.block, machine = %id, "the worker has begun anew");
+            m.reborn(&r);
+        } else if !m.shows_term(&r) {
+            m.uncounted(&r);
+            m.doubt = false;
+        } else if m.newer(&r) {
+            self.take_in(now, &r);
+        }
+        self.errands.insert(id.clone());
+    }
+
+    /// It surely did not go out: there is nothing to fence.
+    pub fn direct_not_sent(&mut self, now: Micros, id: &MachineId) {
+        self.directs_out = self.directs_out.saturating_sub(1);
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        m.direct_after = now + super::starts::DIRECT_AGAIN;
+        m.introductions = m.introductions.saturating_sub(1);
+        // It can't be reached: what was to start there starts elsewhere, and nothing
+        // more is tried there until it reports.
+        m.unreached = true;
+        let keys = m.unsent();
+        self.reweigh(id);
+        for key in keys {
+            self.requeue(&key, id);
+        }
+    }
+
+    fn event(&mut self, now: Micros, on: &MachineId, event: Event) {
+        match event {
+            Event::Started(key) => {
+                if let Some(job) = self.jobs.get_mut(&key.0.job) {
+                    job.runs(key.0.index);
+                    self.dirty.insert(key.0.job);
+                }
+            }
+            Event::Gone(key) => self.requeue(&key, on),
+            Event::Ended(key, cause) => self.ended(now, on, key, cause),
+            Event::Strange(key, phase, cause) => self.adopt(now, on, key, phase, cause),
+        }
+    }
+
+    /// A task that a machine shows and we did not start.
+    fn adopt(&mut self, now: Micros, on: &MachineId, key: Key, phase: Phase, cause: Option<Cause>) {
+        let job = self.jobs.get_mut(&key.0.job);
+        let index = key.0.index;
+        let mut t = Try::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
+        t.cause = cause;
+        let mut ours = false;
+        if let Some(job) = job {
+            let free = index < job.desc.tasks
+                && !job.done.contains(index)
+                && !job.active.contains_key(&index);
+            ours = free || job.active.get(&index) == Some(on) && phase == Phase::Exited;
+            if free && phase != Phase::Exited {
+                job.start(index, on.clone());
+                if phase == Phase::Running {
+                    job.runs(index);
+                }
+                self.dirty.insert(key.0.job.clone());
+            }
+        }
+        if !ours {
+            // Of a job that is over, or elsewhere already: it must go.
+            t.halt = Some(0.0);
+            t.reap = true;
+        }
+        let Some(m) = self.machines.get_mut(on) else {
+            return;
+        };
+        if phase == Phase::Running {
+            m.images.insert(t.image().to_owned());
+        }
+        m.tries.insert(key.clone(), t);
+        if phase == Phase::Exited && ours {
+            self.ended(now, on, key, cause.unwrap_or(Cause::Other));
+        }
+    }
+
+    fn ended(&mut self, now: Micros, on: &MachineId, key: Key, cause: Cause) {
+        let job = self.jobs.get_mut(&key.0.job);
+        if cause == Cause::Done
+            && let Some(job) = job
+        {
+            job.failures = 0;
+            job.failed_on.clear();
+            if let Some(m) = self.machines.get_mut(on) {
+                m.failed_jobs.clear();
+            }
+            // Wherever else the task was thought to be, it is over.
+            job.finish(key.0.index);
+            self.dirty.insert(key.0.job.clone());
+            self.unreaped
+                .entry(key.0.job.clone())
+                .or_default()
+                .push((on.clone(), key));
+            return;
+        }
+        if let Some(m) = self.machines.get_mut(on) {
+            if let Some(t) = m.tries.get_mut(&key) {
+                t.reap = true;
+            }
+            if let Some(job) = job
+                && matches!(cause, Cause::Error | Cause::Unknown)
+            {
+                job.failures += 1;
+                job.failed_on.insert(on.clone());
+                // One job that fails everywhere says nothing about machines, so it
+                // waits longer each time; several failing here condemn the machine.
+                if job.failed_on.len() >= 3 {
+                    job.not_before = now + Micros::from_millis(1000 << job.failures.min(5));
+                }
+                m.failed_jobs.insert(key.0.job.clone(), now);
+                let jobs = &self.jobs;
+                let fair = m
+                    .failed_jobs
+                    .keys()
+                    .filter(|j| jobs.get(*j).is_none_or(|j| j.failed_on.len() < 3));
+                if fair.count() >= 2 && !m.draining {
+                    tracing::info!(block = %self.block, machine = %on, "machine fails tasks of several jobs: drained");
+                    m.draining = true;
+                }
+            }
+        }
+        tracing::debug!(block = %self.block, task = %key.0, attempt = %key.1, ?cause, machine = %on, "attempt ended");
+        self.requeue(&key, on);
+    }
+}
--- /dev/null
+++ b/src/blocks/holder/starts.rs
@@ -0,0 +1,197 @@
+//! What to start and to stop, and telling the machines.
+
+use super::{Effect, Holder};
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::ids::{Attempt, MachineId, TaskId};
+use crate::placement::{self, Choice, Floor, Placed};
+use crate::workers::{Direct, Leaving, Phase, Try};
+
+/// After an attempt to connect failed.
+pub(super) const DIRECT_AGAIN: Micros = Micros::from_millis(1_000);
+/// Passes over the block come no faster than this, and later the more they cost.
+const PASS_GAP: Micros = Micros::from_millis(40);
+const PASS_COST_US: u64 = 2;
+/// This bounds one pass.
+const MOST_STARTS: usize = 400;
+/// How many jobs of a team are looked at: in a pass, and for one machine.
+const PASS_REACH: usize = 400;
+const REFILL_REACH: usize = 48;
+const PREEMPT_GAP: Micros = Micros::from_millis(500);
+/// Direct words that are out at once.
+const MOST_DIRECTS: usize = 48;
+
+impl Holder {
+    /// Decides over the whole block what to start, if anything changed.
+    pub(super) fn decide(&mut self, now: Micros, day: Micros, fleet: Res) {
+        if !self.stir || now < self.next_pass {
+            return;
+        }
+        self.stir = false;
+        let scene = self.scene(now, day, fleet);
+        let queues = placement::queues(&scene);
+        let mut cost = 0;
+        if !queues.is_empty() {
+            let floor = Floor::whole(&scene);
+            cost = floor.len();
+            let placed = placement::place(&scene, &queues, floor, PASS_REACH, MOST_STARTS);
+            cost += placed.looked_at;
+            self.stir = placed.choices.len() >= MOST_STARTS;
+            self.looked_at += placed.looked_at;
+            self.hold(&placed);
+            self.start(now, day, placed.choices, true);
+        } else {
+            self.hold(&Placed::default());
+        }
+        self.queues = queues;
+        self.next_pass = now + PASS_GAP + Micros(cost as u64 * PASS_COST_US);
+        if now.since(self.last_preempt) >= PREEMPT_GAP && !self.queues.is_empty() {
+            self.last_preempt = now;
+            self.preempt(now, day, fleet);
+        }
+    }
+
+    fn hold(&mut self, placed: &Placed) {
+        for m in self.machines.values_mut() {
+            m.held_for = None;
+        }
+        let Some((job, ids)) = &placed.held else {
+            return;
+        };
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.held_for = Some(job.clone());
+            }
+        }
+    }
+
+    /// Room got free on a machine that is about to be answered: what comes next
+    /// there is decided without a look at any other machine.
+    pub(super) fn refill(&mut self, now: Micros, day: Micros, fleet: Res, id: &MachineId) {
+        if self.queues.is_empty() {
+            return;
+        }
+        let scene = self.scene(now, day, fleet);
+        let Some((id, _)) = self.machines.get_key_value(id) else {
+            return;
+        };
+        let Some(floor) = Floor::one(&scene, id) else {
+            return;
+        };
+        let placed = placement::place(&scene, &self.queues, floor, REFILL_REACH, MOST_STARTS);
+        self.looked_at += placed.looked_at;
+        self.start(now, day, placed.choices, false);
+    }
+
+    fn start(&mut self, now: Micros, day: Micros, choices: Vec<Choice>, tell: bool) {
+        for c in choices {
+            self.counter += 1;
+            let attempt = Attempt::of(self.term, self.counter);
+            let (Some(job), Some(m)) =
+                (self.jobs.get_mut(&c.job), self.machines.get_mut(&c.machine))
+            else {
+                continue;
+            };
+            job.start(c.index, c.machine.clone());
+            job.last_start = day;
+            let t = Try::new(Phase::Launching, now, Some((job.team, &job.desc)));
+            m.images.insert(job.desc.image.clone());
+            if let Some(r) = m.reserved.iter_mut().find(|r| r.job == c.job) {
+                r.count = r.count.saturating_sub(1);
+            }
+            m.reserved.retain(|r| r.count > 0 && r.until > now);
+            tracing::debug!(block = %self.block, term = %self.term, job = %c.job, task = c.index, %attempt, machine = %c.machine, "start");
+            let task = TaskId {
+                job: c.job,
+                index: c.index,
+            };
+            m.tries.insert((task, attempt), t);
+            self.reweigh(&c.machine);
+            if tell {
+                self.errands.insert(c.machine);
+            }
+        }
+    }
+
+    /// Stops work for what found no room and comes before it.
+    fn preempt(&mut self, now: Micros, day: Micros, fleet: Res) {
+        let stops = placement::preempt(&self.scene(now, day, fleet));
+        for s in stops {
+            let Some(m) = self.machines.get_mut(&s.machine) else {
+                continue;
+            };
+            for (key, leeway_s) in &s.victims {
+                tracing::debug!(block = %self.block, task = %key.0, attempt = %key.1, r#for = %s.reserve.job, "preempt");
+                m.stop(*leeway_s, |k| k == key);
+            }
+            self.errands.insert(s.machine.clone());
+            match m.reserved.iter_mut().find(|r| r.job == s.reserve.job) {
+                Some(r) => {
+                    r.count += s.reserve.count;
+                    r.until = s.reserve.until;
+                }
+                None => m.reserved.push(s.reserve),
+            }
+        }
+    }
+
+    /// Commands to be sent straight to machines: what no answer carried, and the
+    /// token to machines that have not seen it. A bounded number is out at a time.
+    pub fn directs(&mut self, now: Micros) -> Vec<Effect> {
+        let mut out = Vec::new();
+        let heard_within = self.heard_within();
+        let mut done = Vec::new();
+        for id in &self.errands {
+            if self.directs_out + out.len() >= MOST_DIRECTS {
+                break;
+            }
+            let Some(m) = self
+                .machines
+                .get_mut(id)
+                .filter(|m| m.leaving == Leaving::No)
+            else {
+                done.push(id.clone());
+                continue;
+            };
+            // Once to learn the session, once under it; more would only pile up
+            // behind a cut, and the machine's own next report does as well.
+            let introduce =
+                m.unsettled && (m.introductions == 0 || m.introductions == 1 && m.session() > 0);
+            let reachable = m.quiet() && m.last_heard.is_some_and(|h| now.since(h) < heard_within);
+            let word = m.wants_word() && (reachable && m.session() > 0 || m.doubt);
+            if !introduce && !word || m.addr.is_empty() {
+                if !m.direct_out {
+                    done.push(id.clone());
+                }
+                continue;
+            }
+            if m.direct_out || now < m.direct_after {
+                continue;
+            }
+            m.introductions += u32::from(introduce);
+            m.direct_out = true;
+            m.direct_after = now + DIRECT_GAP;
+            // A direct word goes out under the token that was shown; orders only
+            // to those whose picture counts.
+            let orders = if reachable {
+                m.orders(false)
+            } else {
+                Vec::new()
+            };
+            let direct = Direct {
+                baton: m.token(),
+                shift: m.session(),
+                orders,
+            };
+            out.push(Effect::Do(id.clone(), m.addr.clone(), direct));
+        }
+        for id in done {
+            self.errands.remove(&id);
+        }
+        self.directs_out += out.len();
+        out
+    }
+}
+
+/// Between two direct words to one machine.
+const DIRECT_GAP: Micros = Micros::from_millis(150);
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -51,7 +51,8 @@
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRec {
-    #[serde(rename = "a")]
+    /// Learnt from its reports, and recorded when it is first used.
+    #[serde(rename = "a", default, skip_serializing_if = "String::is_empty")]
     pub addr: String,
     #[serde(rename = "b")]
     pub build: String,
@@ -71,6 +72,11 @@
 }
 
 impl MachineRec {
+    /// About how long the record is as JSON, its name and later marks included.
+    fn size(&self) -> usize {
+        self.build.len() + self.zone.len() + 100
+    }
+
     /// A machine that nothing was launched on yet.
     pub fn blank(addr: String, build: &str, zone: &str, spot: bool) -> Self {
         MachineRec {
@@ -89,6 +95,20 @@
 #[serde(transparent)]
 pub struct MachinesRec(pub BTreeMap<MachineId, MachineRec>);
 
+/// Larger shards cost every watcher more at each change than they save.
+const SHARD_BYTES: usize = 8 * 1024;
+
+impl MachinesRec {
+    pub fn size(&self) -> usize {
+        self.0.values().map(MachineRec::size).sum()
+    }
+
+    /// Whether one more fits without coming near what a value may hold.
+    pub fn has_room(&self, rec: &MachineRec, value_bytes: usize) -> bool {
+        self.0.is_empty() || self.size() + rec.size() <= SHARD_BYTES.min(value_bytes / 2)
+    }
+}
+
 /// A rental that was decided, recorded before the cloud is asked: a successor
 /// repeats it under the same name instead of renting again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -2,6 +2,7 @@
 //!
 //! It composes the slices' cores; it knows no socket and reads no clock.
 
+use crate::api::desk::{self, Desk, Found};
 use crate::blocks::holder::{self, Holder};
 use crate::blocks::lease::Lease;
 use crate::blocks::member::Member;
@@ -10,7 +11,7 @@
 use crate::fairness::Res;
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest, MachineType};
-use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
 use crate::mesh::{BlockNews, News};
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -34,6 +35,8 @@
     Sums,
     Resign(BlockId, Term),
     Holder(BlockId, Term, holder::Write),
+    Ended(JobId),
+    Litter,
     Manager(Stamp, manager::Write),
 }
 
@@ -58,6 +61,11 @@
         report: Report,
         ticket: u64,
     },
+    /// How does this job stand?
+    Ask {
+        id: JobId,
+        ticket: u64,
+    },
     DirectAnswer {
         block: BlockId,
         term: Term,
@@ -100,6 +108,10 @@
         ticket: u64,
         answer: Answer,
     },
+    Found {
+        ticket: u64,
+        found: Found,
+    },
     Do {
         block: BlockId,
         term: Term,
@@ -115,7 +127,7 @@
 /// What the users' side needs to know, published whenever it changes.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct View {
-    pub types: Option<Vec<MachineType>>,
+    pub types: Option<Arc<Vec<MachineType>>>,
     /// For each team: its block, and the stamp and term of the block's grant.
     pub teams: Vec<(BlockId, Stamp, Term)>,
     pub healthy: bool,
@@ -134,6 +146,7 @@
     leading_lease: Lease,
     manager: Manager,
     held: BTreeMap<BlockId, Holder>,
+    desk: Desk,
     types: Option<Types>,
     peers: BTreeMap<Label, (Micros, News)>,
     joined: BTreeMap<Label, (Stamp, Micros)>,
@@ -147,6 +160,8 @@
     last_sums: Micros,
     last_types: Micros,
     last_resign: Micros,
+    last_publish: Micros,
+    last_litter: Micros,
     fleet: Res,
     view: Arc<View>,
     needs: BTreeMap<BlockId, Vec<Need>>,
@@ -155,6 +170,10 @@
 const LEADER_LEASE: Micros = Micros::from_millis(6_000);
 const NEWS_EVERY: Micros = Micros::from_millis(700);
 const SUMS_EVERY: Micros = Micros::from_millis(10_000);
+const PUBLISH_EVERY: Micros = Micros::from_millis(250);
+const LITTER_EVERY: Micros = Micros::from_millis(3_000);
+/// Without a reading of the store for so long, questions are refused at once.
+const STALE: Micros = Micros::from_millis(3_000);
 const SILENT_PEER: Micros = Micros::from_millis(5_000);
 /// A single request of a kind that was never answered is given up after this.
 const OUT_FOR: Micros = Micros::from_millis(6_000);
@@ -177,6 +196,7 @@
             read: Micros::ZERO,
             member,
             held: BTreeMap::new(),
+            desk: Desk::default(),
             types: None,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
@@ -189,6 +209,8 @@
             last_sums: now,
             last_types: Micros::ZERO,
             last_resign: Micros::ZERO,
+            last_publish: Micros::ZERO,
+            last_litter: Micros::ZERO,
             fleet: Res::default(),
             view: Arc::default(),
             needs: BTreeMap::new(),
@@ -210,6 +232,8 @@
                 self.read = sent;
                 self.held.clear();
                 self.changed(now, &mut out);
+                let asked = self.desk.reading(sent, &self.mirror);
+                out.extend(asked.into_iter().map(desk_effect));
             }
             Input::Changes { log, ledger, sent } => self.changes(now, log, ledger, sent, &mut out),
             Input::Stored { tag, reply } => self.stored(now, tag, &reply, &mut out),
@@ -217,6 +241,12 @@
                 let answer = self.check_in(now, day, &report);
                 out.push(Effect::Answer { ticket, answer });
             }
+            Input::Ask { id, ticket } => {
+                // Without a reading of late there is none to wait for.
+                let hopeful = self.mirror.loaded && now.since(self.read) < STALE;
+                let asked = self.desk.ask(now, id, ticket, hopeful);
+                out.extend(asked.map(desk_effect));
+            }
             Input::DirectAnswer {
                 block,
                 term,
@@ -234,7 +264,6 @@
             Input::Cloud { request, reply } => self.cloud(now, request, reply, &mut out),
             Input::News(news) => self.note(now, news),
         }
-        self.drive(now, day, &mut out);
         out
     }
 
@@ -243,14 +272,12 @@
         self.peers.insert(news.from.clone(), (now, news));
     }
 
-    /// What follows from any message: commands and writes of the held blocks.
+    /// Decisions and writes of the held blocks. Not after each message: what many
+    /// messages changed is decided once.
     fn drive(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
-        if !self.acting(now) {
-            return;
-        }
         let fleet = self.fleet;
         for (b, h) in &mut self.held {
-            h.decide(now, day, fleet);
+            h.tick(now, day, fleet);
             let term = h.term;
             let mut effects = h.directs(now);
             effects.extend(h.writes(now));
@@ -260,13 +287,10 @@
     }
 
     fn check_in(&mut self, now: Micros, day: Micros, r: &Report) -> Answer {
-        let found = self
-            .mirror
-            .machines
-            .iter()
-            .find_map(|(b, (_, recs))| recs.0.get(&r.machine).map(|m| (*b, m)));
-        // Not recorded in a block, or given up: nobody may answer with a token.
-        let Some((b, _)) = found.filter(|(_, m)| m.freed.is_none()) else {
+        // Not recorded in a block, or given up: nobody may answer with a token. A
+        // report alone never makes a machine one of ours: it may be a late copy.
+        let found = self.mirror.machine(&r.machine);
+        let Some(((b, _), _)) = found.filter(|(_, m)| m.freed.is_none()) else {
             return Answer::NotNow;
         };
         let Some((_, rec)) = self.mirror.holders.get(&b) else {
@@ -301,25 +325,34 @@
     ) {
         self.read = sent;
         let quiet = log.is_empty();
-        let (mut jobs, mut machines) = (Vec::new(), Vec::new());
+        let (mut jobs, mut machines, mut pages) = (Vec::new(), Vec::new(), Vec::new());
+        let mut others = false;
         for change in log {
             match self.mirror.change(change) {
                 Touched::Job(id) => jobs.push(id),
                 Touched::Machines(b) => machines.push(b),
-                Touched::Holder(_) | Touched::Other => {}
+                Touched::Page(id, page) => pages.push((id, page)),
+                Touched::Holder(_) | Touched::Other => others = true,
             }
         }
         self.seen = Stamp(ledger.max(self.seen.0));
+        let asked = self.desk.reading(sent, &self.mirror);
+        out.extend(asked.into_iter().map(desk_effect));
         if quiet {
             return;
         }
         // Grants first: a block that is no longer ours must not be told of jobs.
-        self.changed(now, out);
+        if others || !machines.is_empty() {
+            self.changed(now, out);
+        }
         let types = self.types.clone().unwrap_or_default();
         for h in self.held.values_mut() {
             for id in &jobs {
                 h.sync_job(id, &self.mirror);
             }
+            for (id, page) in &pages {
+                h.sync_page(id, *page, &self.mirror);
+            }
             if machines.contains(&h.block) {
                 h.sync_machines(now, &self.mirror, &types, false);
             }
@@ -331,7 +364,7 @@
         if let Some((_, t)) = &self.mirror.types
             && self.types.as_ref().is_none_or(|old| **old != *t)
         {
-            self.types = Some(Rc::new(t.clone()));
+            self.types = Some(Arc::new(t.clone()));
         }
         for (label, (stamp, _)) in &self.mirror.members {
             if self.joined.get(label).is_none_or(|(s, _)| s != stamp) {
@@ -372,12 +405,7 @@
                 }
             }
             let mut fleet = Res::default();
-            for m in self
-                .mirror
-                .machines
-                .values()
-                .flat_map(|(_, r)| r.0.values())
-            {
+            for (_, _, m) in self.mirror.all_machines() {
                 if let Some(t) = types.iter().find(|t| t.name == m.build) {
                     fleet += t.capacity();
                 }
@@ -388,6 +416,7 @@
     }
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.last_publish = now;
         let s = &self.settings;
         let blocks = self.policy.blocks(s);
         let teams = (0..s.platform.teams.len())
@@ -398,7 +427,7 @@
             })
             .collect();
         let view = View {
-            types: self.types.as_deref().cloned(),
+            types: self.types.clone(),
             teams,
             healthy: self.healthy(now),
         };
@@ -414,12 +443,18 @@
         if !self.mirror.loaded {
             return false;
         }
-        let store_ok = self.store_ok(now);
-        let better = self
+        if self.store_ok(now) {
+            return true;
+        }
+        let mut fresh = self
             .peers
             .values()
-            .any(|(at, n)| now.since(*at) < Micros::from_millis(3_000) && n.store_ok);
-        store_ok || !better
+            .filter(|(at, _)| now.since(*at) < Micros::from_millis(3_000))
+            .peekable();
+        // Without the store and without any peer we can't tell an outage from a cut
+        // of our own, and being the odd one out is the likelier.
+        let alone = fresh.peek().is_none() && !self.settings.seeds.is_empty();
+        !alone && !fresh.any(|(_, n)| n.store_ok)
     }
 
     fn store_ok(&self, now: Micros) -> bool {
@@ -479,7 +514,10 @@
                 urgency: Urgency::Vital,
             });
         }
-        self.publish(now, out);
+        if now.since(self.last_publish) >= PUBLISH_EVERY {
+            self.publish(now, out);
+        }
+        out.extend(self.desk.expire(now).into_iter().map(desk_effect));
         if self.mirror.loaded && self.types.is_none() && self.claim(now, "types") {
             out.push(Effect::Cloud(CloudRequest::Types));
         }
@@ -487,11 +525,38 @@
             return;
         }
         self.lead(now, out);
-        for h in self.held.values_mut() {
-            h.tick(now);
-        }
+        self.drive(now, day, out);
         self.tell(now, day, out);
         self.resign(now, out);
+        self.tidy(now, out);
+    }
+
+    /// The leader clears what ended jobs left behind, a little at a time.
+    fn tidy(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now.since(self.last_litter) < LITTER_EVERY {
+            return;
+        }
+        self.last_litter = now;
+        let Some(leader) = self.leading() else {
+            return;
+        };
+        let most = (self.settings.most_changes() / 2).min(8);
+        let litter = self.mirror.litter(most);
+        if litter.is_empty() {
+            return;
+        }
+        // Ids of ended jobs never come back, so these pages are nobody's.
+        let mut conds = vec![leader];
+        conds.extend(litter.iter().map(|(id, _)| cond(keys::job(id), Stamp(0))));
+        let ops = litter
+            .iter()
+            .map(|(id, page)| store::delete(keys::page(id, *page)))
+            .collect();
+        out.push(Effect::Store {
+            tag: Tag::Litter,
+            request: Request::Txn { conds, ops },
+            urgency: Urgency::Spare,
+        });
     }
 
     fn leading(&self) -> Option<store::Cond> {
@@ -689,9 +754,9 @@
         if now.since(self.last_sums) >= SUMS_EVERY {
             self.last_sums = now;
             let mut sums = BTreeMap::new();
-            for h in self.held.values() {
+            for h in self.held.values_mut() {
                 h.log_use(now);
-                sums.extend(h.sums(now, day, fleet));
+                sums.extend(h.sums(fleet));
             }
             let ops = vec![store::set(keys::sums(&self.settings.label), &sums)];
             let request = Request::Txn { conds: vec![], ops };
@@ -778,7 +843,11 @@
             Tag::Types => {
                 self.out.remove("types");
             }
-            Tag::Sums | Tag::Resign(..) => {}
+            Tag::Sums | Tag::Resign(..) | Tag::Litter => {}
+            Tag::Ended(id) => {
+                let asked = self.desk.ended(id, reply);
+                out.extend(asked.into_iter().map(desk_effect));
+            }
             Tag::Holder(b, term, write) => {
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.stored(now, write, reply);
@@ -834,7 +903,7 @@
                 urgency: Urgency::Prompt,
             });
         }
-        self.types = Some(Rc::new(types));
+        self.types = Some(Arc::new(types));
         self.changed(now, out);
     }
 }
@@ -847,6 +916,19 @@
     }
 }
 
+fn desk_effect(e: desk::Effect) -> Effect {
+    match e {
+        desk::Effect::Found(ticket, found) => Effect::Found { ticket, found },
+        desk::Effect::ReadEnded(id) => Effect::Store {
+            request: Request::Get {
+                key: keys::ended(&id),
+            },
+            tag: Tag::Ended(id),
+            urgency: Urgency::Prompt,
+        },
+    }
+}
+
 fn holder_effect(block: BlockId, term: Term, e: holder::Effect) -> Effect {
     match e {
         holder::Effect::Do(machine, addr, direct) => Effect::Do {
@@ -856,15 +938,14 @@
             addr,
             direct,
         },
-        holder::Effect::Get(write, key) => Effect::Store {
-            tag: Tag::Holder(block, term, write),
-            request: Request::Get { key },
-            urgency: Urgency::Prompt,
-        },
         holder::Effect::Txn(write, conds, ops) => Effect::Store {
+            // Where changes are short, progress waits for all the others.
+            urgency: match write {
+                holder::Write::Progress { .. } => Urgency::Spare,
+                _ => Urgency::Prompt,
+            },
             tag: Tag::Holder(block, term, write),
             request: Request::Txn { conds, ops },
-            urgency: Urgency::Prompt,
         },
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,9 +5,10 @@
 #[cfg(test)]
 mod tests;
 
-use crate::api;
+use crate::api::{self, desk::Found};
 use crate::clock::{Micros, Steady, time_of_day};
 use crate::fleet::client::Cloud;
+use crate::ids::JobId;
 use crate::mesh;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -36,7 +37,13 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
-const TICK: Duration = Duration::from_millis(100);
+/// A user's question how a job stands.
+pub struct Asked {
+    pub id: JobId,
+    pub answer: oneshot::Sender<Found>,
+}
+
+const TICK: Duration = Duration::from_millis(50);
 /// Watches are reopened no faster than this.
 const WATCH_GAP: Duration = Duration::from_millis(120);
 const DO_DEADLINE: Duration = Duration::from_millis(2_500);
@@ -61,7 +68,8 @@
         p.cloud.rps,
     ));
     let (inputs, inbox) = mpsc::channel::<Input>(1024);
-    let (reports, arrivals) = mpsc::channel::<Arrived>(256);
+    let (reports, arrivals) = mpsc::channel::<Arrived>(1024);
+    let (asks, asking) = mpsc::channel::<Asked>(1024);
     let (questions, asked) = mpsc::channel::<Question>(256);
     let (view_out, view) = watch::channel(Arc::new(View::default()));
 
@@ -84,11 +92,12 @@
     spawn_local(watch_store(store.clone(), clock, inputs.clone()));
     spawn_local(answer_questions(store.clone(), asked));
     let shared = Arc::new(settings.clone());
-    api::serve(shared, view, questions, reports)
+    api::serve(shared, view, questions, reports, asks)
         .await
         .map_err(|e| refused(&settings.bind, &e))?;
     tracing::info!(label = %settings.label, bind = %settings.bind, lease_s = settings.lease().as_secs(), "started");
 
+    let sockets = settings.platform.limits.sockets;
     let core = Core::new(Rc::new(settings), Rc::new(policy), clock.now());
     Driver {
         core,
@@ -98,10 +107,12 @@
         inputs,
         peers,
         view_out,
+        workers: Workers::new(sockets / 3),
         tickets: BTreeMap::new(),
+        questions: BTreeMap::new(),
         next: 0,
     }
-    .run(inbox, arrivals)
+    .run(inbox, arrivals, asking)
     .await;
     Ok(())
 }
@@ -161,14 +172,11 @@
 }
 
 /// Commands straight to a worker.
-async fn direct(addr: String, direct: Direct) -> DirectAnswer {
+async fn direct(worker: &Pool, direct: Direct) -> DirectAnswer {
     let Ok(body) = serde_json::to_value(&direct) else {
         return DirectAnswer::NotSent;
     };
-    match Pool::new(addr, 1)
-        .call("POST", "/do", Some(&body), DO_DEADLINE)
-        .await
-    {
+    match worker.call("POST", "/do", Some(&body), DO_DEADLINE).await {
         Ok((200 | 409, body)) => match serde_json::from_slice::<Report>(&body) {
             Ok(r) => DirectAnswer::Report(r),
             Err(_) => DirectAnswer::Lost,
@@ -187,15 +195,46 @@
     inputs: mpsc::Sender<Input>,
     peers: Vec<mpsc::Sender<Bytes>>,
     view_out: watch::Sender<Arc<View>>,
+    workers: Workers,
     tickets: BTreeMap<u64, oneshot::Sender<Answer>>,
+    questions: BTreeMap<u64, oneshot::Sender<Found>>,
     next: u64,
 }
 
+/// Kept connections to workers, so that a direct word costs no new one; bounded.
+struct Workers {
+    most: usize,
+    pools: BTreeMap<String, Rc<Pool>>,
+}
+
+impl Workers {
+    fn new(most: usize) -> Self {
+        Workers {
+            most,
+            pools: BTreeMap::new(),
+        }
+    }
+
+    fn to(&mut self, addr: &str) -> Rc<Pool> {
+        if let Some(pool) = self.pools.get(addr) {
+            return pool.clone();
+        }
+        if self.pools.len() >= self.most {
+            // Rare: addresses of machines long gone pile up. Open calls go on.
+            self.pools.clear();
+        }
+        let pool = Rc::new(Pool::new(addr.to_owned(), 2));
+        self.pools.insert(addr.to_owned(), pool.clone());
+        pool
+    }
+}
+
 impl Driver {
     async fn run(
         mut self,
         mut inbox: mpsc::Receiver<Input>,
         mut arrivals: mpsc::Receiver<Arrived>,
+        mut asking: mpsc::Receiver<Asked>,
     ) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -205,6 +244,11 @@
                 biased;
                 _ = tick.tick() => Input::Tick,
                 Some(input) = inbox.recv() => input,
+                Some(a) = asking.recv() => {
+                    self.next += 1;
+                    self.questions.insert(self.next, a.answer);
+                    Input::Ask { id: a.id, ticket: self.next }
+                }
                 Some(a) = arrivals.recv() => {
                     self.next += 1;
                     self.tickets.insert(self.next, a.answer);
@@ -238,6 +282,11 @@
                     let _ = to.send(answer);
                 }
             }
+            Effect::Found { ticket, found } => {
+                if let Some(to) = self.questions.remove(&ticket) {
+                    let _ = to.send(found);
+                }
+            }
             Effect::Do {
                 block,
                 term,
@@ -245,8 +294,9 @@
                 addr,
                 direct: orders,
             } => {
+                let worker = self.workers.to(&addr);
                 spawn_local(async move {
-                    let answer = direct(addr, orders).await;
+                    let answer = direct(&worker, orders).await;
                     let _ = inputs
                         .send(Input::DirectAnswer {
                             block,
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -2,6 +2,7 @@
 //! under a fake clock. Each test names the failure that it guards against.
 
 use super::core::{Answer, Core, DirectAnswer, Effect, Input, Tag};
+use crate::api::desk::Found;
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
 use crate::ids::{Attempt, JobId, Label, MachineId, Stamp, Tenure, Token};
@@ -29,6 +30,8 @@
     log: Vec<Change>,
     next_lease: u64,
     down: bool,
+    /// Changes asked for, refused ones included.
+    changes: usize,
 }
 
 impl FakeStore {
@@ -87,7 +90,28 @@
         Reply::Committed(Stamp(self.ledger))
     }
 
+    /// What the settings of these tests allow; a transaction beyond it is malformed.
+    fn check_limits(&mut self, conds: &[Cond], ops: &[Op]) {
+        assert!(
+            ops.len() <= 16 && conds.len() <= 64,
+            "{} {}",
+            ops.len(),
+            conds.len()
+        );
+        let mut bytes = 0;
+        for op in ops {
+            if let Op::Set { key, value, .. } = op {
+                let long = value.to_string().len();
+                assert!(long <= 16 * 1024, "{key} has {long} bytes");
+                bytes += long;
+            }
+        }
+        assert!(bytes < 60 * 1024, "{bytes} bytes in a transaction");
+        self.changes += ops.len();
+    }
+
     fn txn(&mut self, conds: &[Cond], ops: Vec<Op>) -> Reply {
+        self.check_limits(conds, &ops);
         let stamp = |k: &str| self.keys.get(k).map_or(0, |v| v.0);
         let failed: Vec<String> = conds
             .iter()
@@ -161,6 +185,8 @@
     node: Option<usize>,
     cut: bool,
     last_answer: Micros,
+    /// When it reports next.
+    due: Micros,
 }
 
 impl FakeWorker {
@@ -216,7 +242,6 @@
     loaded: bool,
     /// It does not reach the store.
     no_store: bool,
-    next_report: Micros,
 }
 
 struct World {
@@ -232,6 +257,8 @@
     hold_job_txns: bool,
     held_directs: Vec<(usize, Direct)>,
     hold_directs: bool,
+    /// What users were told of jobs: by which node, on which question.
+    found: Vec<(usize, u64, Found)>,
 }
 
 impl World {
@@ -249,7 +276,6 @@
                 since: 0,
                 loaded: false,
                 no_store: false,
-                next_report: Micros(0),
             });
         }
         let workers = (0..machines)
@@ -262,6 +288,7 @@
                 node: None,
                 cut: false,
                 last_answer: secs(1.0),
+                due: secs(1.0),
             })
             .collect();
         let mut w = World {
@@ -275,6 +302,7 @@
             hold_job_txns: false,
             held_directs: vec![],
             hold_directs: false,
+            found: vec![],
         };
         for i in 0..nodes {
             w.start(i);
@@ -337,6 +365,7 @@
                             }
                         }
                     }
+                    Effect::Found { ticket, found } => self.found.push((i, ticket, found)),
                     Effect::View(_) => {}
                 }
             }
@@ -422,9 +451,9 @@
                 }
                 self.feed(i, Input::Tick);
             }
-            if self.now >= self.nodes[0].next_report {
-                self.nodes[0].next_report = self.now + secs(2.0);
-                for at in 0..self.workers.len() {
+            for at in 0..self.workers.len() {
+                if self.now >= self.workers[at].due {
+                    self.workers[at].due = self.now + secs(2.0);
                     self.check_in(at);
                 }
             }
@@ -480,6 +509,10 @@
             match self.feed(i, Input::CheckIn { report, ticket: 1 }) {
                 Some(Answer::Orders(o)) => {
                     let w = &mut self.workers[at];
+                    if o.baton > w.baton || !o.orders.is_empty() {
+                        // A change is reported soon.
+                        w.due = self.now + secs(0.5);
+                    }
                     if o.baton >= w.baton {
                         w.baton = o.baton;
                         w.last_answer = self.now;
@@ -504,10 +537,6 @@
             desc: desc.clone(),
             at: self.now,
             born,
-            owner: None,
-            done: vec![],
-            done_count: 0,
-            running: 0,
         };
         let conds = [
             cond(keys::job(&desc.id), Stamp(0)),
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -2,6 +2,7 @@
 //! less what it is entitled to (the paper's Section III-C, Equations 1 to 4).
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::ops::{AddAssign, Sub, SubAssign};
 
 /// Amounts of each resource: of a task, a machine or the fleet.
@@ -53,6 +54,11 @@
         least.clamp(0.0, 1e6) as u32
     }
 
+    /// The larger amount of each.
+    pub fn most(self, o: Res) -> Res {
+        self.zip(o, f64::max)
+    }
+
     /// The largest share of `whole` that any resource takes.
     pub fn share_of(&self, whole: &Res) -> f64 {
         let q = self.zip(*whole, |a, b| if b > 0.0 { a / b } else { 0.0 });
@@ -106,10 +112,121 @@
     s(endowment(requests, capacity, summed), fleet)
 }
 
+/// What a machine's attempts request, in all and by team.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Load {
+    pub summed: Res,
+    pub teams: Vec<(usize, Res)>,
+    /// Unreported since a take-over: it may hold anything, of any team.
+    pub unknown: bool,
+}
+
+impl Load {
+    pub fn take(&mut self, team: usize, request: Res) {
+        self.summed += request;
+        match self.teams.iter_mut().find(|(t, _)| *t == team) {
+            Some((_, sum)) => *sum += request,
+            None => self.teams.push((team, request)),
+        }
+    }
+}
+
+/// One team's sums.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct TeamSum {
+    /// What counts against its limit.
+    pub used: Res,
+    /// What its running tasks are endowed with.
+    pub endowed: Res,
+}
+
+/// The sums of a block's teams, kept up to date machine by machine, so that no
+/// decision walks over the fleet to weigh a team.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Weights {
+    teams: BTreeMap<usize, TeamSum>,
+}
+
+impl Weights {
+    pub fn new(teams: &[usize]) -> Self {
+        Weights {
+            teams: teams.iter().map(|t| (*t, TeamSum::default())).collect(),
+        }
+    }
+
+    pub fn add(&mut self, load: &Load, capacity: Res) {
+        self.shift(load, capacity, 1.0);
+    }
+
+    pub fn remove(&mut self, load: &Load, capacity: Res) {
+        self.shift(load, capacity, -1.0);
+    }
+
+    fn shift(&mut self, load: &Load, capacity: Res, sign: f64) {
+        if load.unknown {
+            // After a take-over, what is on a silent machine counts as the worst
+            // case for each team, or its limit and its heaviness would be off.
+            let part = sign / self.teams.len().max(1) as f64;
+            for team in self.teams.values_mut() {
+                team.used += capacity.scale(sign);
+                team.endowed += capacity.scale(part);
+            }
+            return;
+        }
+        for (t, request) in &load.teams {
+            if let Some(team) = self.teams.get_mut(t) {
+                team.used += request.scale(sign);
+                team.endowed += endowment(*request, capacity, load.summed).scale(sign);
+            }
+        }
+    }
+
+    pub fn of(&self, team: usize) -> TeamSum {
+        self.teams.get(&team).copied().unwrap_or_default()
+    }
+
+    /// Equations 2 to 4: the sum over the team's tasks, less its actual quota.
+    pub fn heaviness(&self, team: usize, guarantee: Res, guarantees: Res, fleet: Res) -> f64 {
+        s(self.of(team).endowed, fleet) - s(actual_quota(guarantee, fleet, guarantees), fleet)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn sums_kept_machine_by_machine_equal_sums_made_anew() {
+        let cap = Res::new(16.0, 0.0, 64.0);
+        let fleet = Res::new(32.0, 0.0, 128.0);
+        let mut load = Load::default();
+        let mut kept = Weights::new(&[0, 1]);
+        kept.add(&load, cap);
+        for (team, cores) in [(0, 2.0), (1, 6.0), (0, 4.0)] {
+            kept.remove(&load, cap);
+            load.take(team, Res::new(cores, 0.0, 4.0 * cores));
+            kept.add(&load, cap);
+        }
+        let mut anew = Weights::new(&[0, 1]);
+        anew.add(&load, cap);
+        for t in [0, 1] {
+            near(kept.of(t).endowed.cores, anew.of(t).endowed.cores);
+            near(kept.of(t).used.mem, anew.of(t).used.mem);
+        }
+        // 6 of 12 cores requested: half of the machine, and the quota is half of the fleet.
+        let (g, all) = (Res::new(8.0, 0.0, 0.0), Res::new(16.0, 0.0, 0.0));
+        near(kept.heaviness(0, g, all, fleet), 0.25 + 0.25 - 0.5);
+        // A silent machine counts whole against each limit.
+        kept.add(
+            &Load {
+                unknown: true,
+                ..Load::default()
+            },
+            cap,
+        );
+        near(kept.of(1).used.cores, 6.0 + 16.0);
+    }
+
     fn near(a: f64, b: f64) {
         assert!((a - b).abs() < 1e-9, "{a} is not {b}");
     }
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -14,7 +14,7 @@
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, Reply, cond, keys};
 use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A leader's write, as it comes back with its answer.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,7 +71,10 @@
 #[derive(Default)]
 pub struct Manager {
     txn_ops: usize,
+    value_bytes: usize,
     horizon: Micros,
+    stepped: Micros,
+    scanned: Micros,
     /// The leadership that this state belongs to, by the leader key's stamp.
     reign: Stamp,
     counter: u64,
@@ -84,6 +87,10 @@
     returning: BTreeMap<MachineId, Option<Micros>>,
     return_out: Vec<MachineId>,
     returned: BTreeSet<MachineId>,
+    /// Listed, but recorded nowhere.
+    strange: BTreeSet<MachineId>,
+    /// Given up by a holder, for another block.
+    moves: BTreeSet<MachineId>,
     writing: bool,
     /// The mirror must have caught up with this before the next write.
     wait_for: Stamp,
@@ -95,17 +102,22 @@
 
 const LIST_EVERY: Micros = Micros::from_millis(3_000);
 const CREDIT: Micros = Micros::from_millis(3_000);
+const STEP_EVERY: Micros = Micros::from_millis(150);
+const SCAN_EVERY: Micros = Micros::from_millis(800);
 const MOST_HIRES_OUT: usize = 6;
 /// A large machine must be this much cheaper per task to be rented for small
 /// ones, while large ones lack room.
 const SCARCE: f64 = 1.5;
 const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
-const MOST_PER_HIRE: u32 = 8;
+/// The cloud takes no more in one request.
+const MOST_PER_HIRE: u32 = 50;
+const MOST_RETURNED: usize = 100;
 
 impl Manager {
     pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
-            txn_ops: settings.platform.state.txn_ops,
+            txn_ops: settings.most_changes(),
+            value_bytes: (settings.platform.state.value_kb * 1024.0) as usize,
             horizon: policy.rent_horizon,
             ..Manager::default()
         }
@@ -126,6 +138,7 @@
             // their names. Its hires are in the store.
             *self = Manager {
                 txn_ops: self.txn_ops,
+                value_bytes: self.value_bytes,
                 horizon: self.horizon,
                 reign: leader.stamp,
                 counter: self.counter,
@@ -133,6 +146,10 @@
             };
         }
         let mut out = Vec::new();
+        if now.since(self.stepped) < STEP_EVERY {
+            return out;
+        }
+        self.stepped = now;
         if seen >= self.wait_for {
             // Before that the mirror may show hires that are settled.
             self.adopt_hires(now, mirror);
@@ -142,10 +159,14 @@
             self.listed_at = now;
             out.push(Effect::Cloud(CloudRequest::List));
         }
-        self.find_returns(now, mirror, types, news);
+        if now.since(self.scanned) >= SCAN_EVERY {
+            self.scanned = now;
+            self.find_returns(now, mirror, types, news);
+            self.find_moves(mirror);
+        }
         self.ask_returns(now, &mut out);
         if !self.writing && seen >= self.wait_for {
-            out.extend(self.change_machines(mirror, leader, news));
+            out.extend(self.change_machines(mirror, leader, types, news));
         }
         self.ask_hires(now, mirror, leader, &mut out);
         self.rent(now, mirror, leader, types, news, &mut out);
@@ -174,26 +195,26 @@
                 self.returning.insert(id.clone(), Some(now));
             }
         };
-        for (b, (_, rec)) in &mirror.machines {
-            let fresh = news
-                .get(b)
-                .filter(|n| now.since(n.at) < Micros::from_millis(4_000));
-            for (id, r) in &rec.0 {
-                if r.freed == Some(Freed::Return) {
-                    add(id, "idle");
-                }
-                let dead = fresh.is_some_and(|n| {
-                    n.dead.contains(id)
-                        && mirror.holders.get(b).is_some_and(|(_, h)| h.term == n.term)
-                });
-                // What still boots is not silent.
-                let boots = self
+        let fresh: BTreeMap<BlockId, BTreeSet<&MachineId>> = news
+            .iter()
+            .filter(|(b, n)| {
+                now.since(n.at) < Micros::from_millis(4_000)
+                    && mirror.holders.get(b).is_some_and(|(_, h)| h.term == n.term)
+            })
+            .map(|(b, n)| (*b, n.dead.iter().collect()))
+            .collect();
+        for (b, id, r) in mirror.all_machines() {
+            if r.freed == Some(Freed::Return) {
+                add(id, "idle");
+            }
+            // What still boots is not silent.
+            if fresh.get(&b).is_some_and(|dead| dead.contains(id))
+                && self
                     .list
                     .get(id)
-                    .is_some_and(|l| l.standing == CloudStanding::Booting);
-                if dead && !boots {
-                    add(id, "silent or failing");
-                }
+                    .is_none_or(|l| l.standing != CloudStanding::Booting)
+            {
+                add(id, "silent or failing");
             }
         }
         for m in self.list.values() {
@@ -210,6 +231,29 @@
         }
     }
 
+    /// What holders gave up for others, and what is listed but recorded nowhere.
+    fn find_moves(&mut self, mirror: &Mirror) {
+        let freed = mirror
+            .all_machines()
+            .filter(|(_, _, r)| r.freed == Some(Freed::Move));
+        self.moves = freed.map(|(_, id, _)| id.clone()).collect();
+        let hired: BTreeSet<&MachineId> = self
+            .hires
+            .values()
+            .filter_map(|(_, h)| match h {
+                Hire::Rented(ids) => Some(ids),
+                _ => None,
+            })
+            .flatten()
+            .collect();
+        let strange = self.list.values().filter(|m| {
+            m.standing != CloudStanding::Failed
+                && mirror.machine(&m.id).is_none()
+                && !hired.contains(&m.id)
+        });
+        self.strange = strange.map(|m| m.id.clone()).collect();
+    }
+
     fn ask_returns(&mut self, now: Micros, out: &mut Vec<Effect>) {
         if !self.return_out.is_empty() {
             return;
@@ -218,143 +262,101 @@
             .returning
             .iter()
             .filter(|(_, at)| at.is_some_and(|at| now >= at));
-        let ids: Vec<MachineId> = due.map(|(id, _)| id.clone()).take(50).collect();
+        let ids: Vec<MachineId> = due.map(|(id, _)| id.clone()).take(MOST_RETURNED).collect();
         if !ids.is_empty() {
             self.return_out = ids.clone();
             out.push(Effect::Cloud(CloudRequest::Return(ids)));
         }
     }
 
-    /// One write of the machines' keys: what was rented goes in, what is gone
-    /// goes out, what was given up moves on.
+    /// One write of the machines' shards: what was rented goes in, what is gone goes
+    /// out, what was given up moves on. As much as a transaction takes; the rest
+    /// follows in the next, and a crash in between loses nothing: a hire's record
+    /// goes only with the last of its machines, and a successor repeats it.
     fn change_machines(
         &mut self,
         mirror: &Mirror,
         leader: &Cond,
+        types: &[MachineType],
         news: &BTreeMap<BlockId, BlockNews>,
     ) -> Option<Effect> {
         let blocks: Vec<BlockId> = mirror.holders.keys().copied().collect();
-        if blocks.is_empty() {
-            return None;
-        }
-        let mut recs: BTreeMap<BlockId, MachinesRec> = blocks
-            .iter()
-            .map(|b| {
-                (
-                    *b,
-                    mirror
-                        .machines
-                        .get(b)
-                        .map_or_else(Default::default, |(_, r)| (**r).clone()),
-                )
-            })
-            .collect();
-        let before = recs.clone();
-        let everywhere: BTreeSet<MachineId> =
-            recs.values().flat_map(|r| r.0.keys().cloned()).collect();
+        let first = *blocks.first()?;
+        let mut draft = Draft::new(mirror, self.value_bytes, self.txn_ops);
+        let mut spread = Spread::new(mirror, news, types, &blocks);
         let (mut settled, mut ops) = (Vec::new(), Vec::new());
-        let (term, term_cond, term_op) = take_terms(mirror, 1);
-        let mut new_term = false;
         for (name, (hire, state)) in &self.hires {
             let Hire::Rented(ids) = state else { continue };
-            if settled.len() >= 3 {
+            if draft.full(ops.len() + 1) {
                 break;
             }
-            let block = if recs.contains_key(&hire.block) {
+            let block = if mirror.holders.contains_key(&hire.block) {
                 hire.block
             } else {
-                blocks[0]
+                first
             };
-            for id in ids.iter().filter(|id| !everywhere.contains(*id)) {
-                let rec = MachineRec::blank(
-                    self.list
-                        .get(id)
-                        .and_then(|l| l.addr.clone())
-                        .unwrap_or_default(),
-                    &hire.build,
-                    &hire.zone,
-                    hire.spot,
-                );
-                recs.get_mut(&block).map(|r| r.0.insert(id.clone(), rec));
+            let blank = MachineRec::blank(String::new(), &hire.build, &hire.zone, hire.spot);
+            let all = ids
+                .iter()
+                .filter(|id| mirror.machine(id).is_none())
+                .all(|id| draft.insert(block, id, blank.clone(), ops.len() + 1));
+            if all {
+                settled.push(name.clone());
+                ops.push(store::delete(keys::hire(name)));
             }
-            settled.push(name.clone());
-            ops.push(store::delete(keys::hire(name)));
         }
         let mut removed = Vec::new();
-        for rec in recs.values_mut() {
-            rec.0.retain(|id, r| {
-                let gone = self.returned.contains(id);
-                if gone {
-                    removed.push(id.clone());
-                }
-                if let Some(addr) = self
-                    .list
-                    .get(id)
-                    .and_then(|l| l.addr.as_ref())
-                    .filter(|_| r.addr.is_empty())
-                {
-                    r.addr.clone_from(addr);
-                }
-                !gone
-            });
+        for id in &self.returned {
+            if let Some((at, _)) = mirror.machine(id)
+                && draft.remove(at, id, ops.len())
+            {
+                removed.push(id.clone());
+            }
         }
         // Machines that nobody expected: a late rental, or there from the start.
-        let hired: BTreeSet<&MachineId> = self
-            .hires
-            .values()
-            .filter_map(|(_, h)| match h {
-                Hire::Rented(ids) => Some(ids),
-                _ => None,
-            })
-            .flatten()
-            .collect();
-        for m in self.list.values() {
-            let skip = everywhere.contains(&m.id)
-                || hired.contains(&m.id)
-                || self.returned.contains(&m.id)
-                || self.returning.contains_key(&m.id)
-                || m.standing == CloudStanding::Failed;
-            if skip {
+        for id in &self.strange {
+            let Some(m) = self.list.get(id) else { continue };
+            if mirror.machine(id).is_some()
+                || self.returned.contains(id)
+                || self.returning.contains_key(id)
+            {
                 continue;
             }
-            let to = neediest(&recs, news, mirror, &m.build, &m.zone, m.spot)?;
-            tracing::info!(machine = %m.id, block = %to, "adopted");
-            let rec = MachineRec::blank(
-                m.addr.clone().unwrap_or_default(),
-                &m.build,
-                &m.zone,
-                m.spot,
-            );
-            recs.get_mut(&to).map(|r| r.0.insert(m.id.clone(), rec));
+            let to = spread.next(&m.build, &m.zone, m.spot).unwrap_or(first);
+            let addr = m.addr.clone().unwrap_or_default();
+            let rec = MachineRec::blank(addr, &m.build, &m.zone, m.spot);
+            if !draft.insert(to, id, rec, ops.len()) {
+                break;
+            }
+            tracing::debug!(machine = %id, block = %to, "adopted");
         }
         // Machines given up for others: to where they are lacking, or back.
-        let freed: Vec<(BlockId, MachineId, MachineRec)> = recs
-            .iter()
-            .flat_map(|(b, r)| r.0.iter().map(move |(id, m)| (*b, id.clone(), m.clone())))
-            .filter(|(_, id, m)| m.freed == Some(Freed::Move) && !self.returning.contains_key(id))
-            .collect();
-        for (from, id, mut rec) in freed {
-            let to = neediest(&recs, news, mirror, &rec.build, &rec.zone, rec.spot).unwrap_or(from);
-            tracing::info!(machine = %id, %from, %to, "moved");
+        let (term, term_cond, term_op) = take_terms(mirror, 1);
+        let mut new_term = false;
+        for id in &self.moves {
+            let Some((at, rec)) = mirror.machine(id) else {
+                continue;
+            };
+            if rec.freed != Some(Freed::Move) || self.returning.contains_key(id) {
+                continue;
+            }
+            let to = spread.next(&rec.build, &rec.zone, rec.spot).unwrap_or(at.0);
+            let mut rec = rec.clone();
             rec.freed = None;
             // A term above all that any holder of it has used.
             rec.term = term;
+            if draft.full(ops.len() + 3) || !draft.remove(at, id, ops.len() + 2) {
+                break;
+            }
+            draft.insert(to, id, rec, ops.len() + 1);
             new_term = true;
-            recs.get_mut(&from).map(|r| r.0.remove(&id));
-            recs.get_mut(&to).map(|r| r.0.insert(id.clone(), rec));
+            tracing::info!(machine = %id, from = %at.0, %to, "moved");
         }
         let mut conds = vec![leader.clone()];
-        let changed: Vec<BlockId> = blocks
-            .iter()
-            .copied()
-            .filter(|b| before.get(b) != recs.get(b))
-            .collect();
-        for b in changed
-            .iter()
-            .take(self.txn_ops.saturating_sub(ops.len() + 1))
-        {
-            conds.push(cond(keys::machines(*b), mirror.machines_stamp(*b)));
-            ops.push(store::set(keys::machines(*b), &recs[b]));
+        for (at, rec) in draft.shards {
+            let key = keys::machines(at.0, at.1);
+            conds.push(cond(key.clone(), mirror.shard_stamp(at)));
+            ops.push(store::set(key, &rec));
         }
         if ops.is_empty() {
             return None;
@@ -427,6 +429,13 @@
             .filter(|(_, h)| !matches!(h, Hire::Refused))
             .count();
         let mut may = MOST_HIRES_OUT.saturating_sub(out_now);
+        if may == 0 || news.values().all(|n| n.needs.is_empty()) {
+            return;
+        }
+        let mut have: BTreeMap<(&str, &str, bool), usize> = BTreeMap::new();
+        for (_, _, m) in mirror.all_machines() {
+            *have.entry((&m.build, &m.zone, m.spot)).or_default() += 1;
+        }
         for (b, n) in news {
             if now.since(n.at) > Micros::from_millis(4_000) {
                 continue;
@@ -447,7 +456,7 @@
                 if count == 0 || may == 0 {
                     continue;
                 }
-                let Some((t, zone, spot)) = self.cheapest(now, mirror, types, need) else {
+                let Some((t, zone, spot)) = self.cheapest(now, &have, types, need) else {
                     continue;
                 };
                 if !spot && !need.waited_long {
@@ -521,7 +530,7 @@
     fn cheapest(
         &self,
         now: Micros,
-        mirror: &Mirror,
+        have: &BTreeMap<(&str, &str, bool), usize>,
         types: &[MachineType],
         need: &Need,
     ) -> Option<(MachineType, String, bool)> {
@@ -541,12 +550,10 @@
                     if !open || asked || !need.fits(&t.name, zone, spot, &t.capacity()) {
                         continue;
                     }
-                    let have = mirror
-                        .machines
-                        .values()
-                        .flat_map(|(_, r)| r.0.values())
-                        .filter(|m| m.build == t.name && m.zone == *zone && m.spot == spot)
-                        .count();
+                    let have = have
+                        .get(&(t.name.as_str(), zone.as_str(), spot))
+                        .copied()
+                        .unwrap_or(0);
                     let hourly = if spot { t.spot_price } else { t.price };
                     let scarce = if self.wanted_by_larger(t, types, need) {
                         SCARCE
@@ -664,47 +671,130 @@
     }
 }
 
-/// The block that lacks a machine like this most, by what its holder reports;
-/// without such a block, the one with the least.
-fn neediest(
-    recs: &BTreeMap<BlockId, MachinesRec>,
-    news: &BTreeMap<BlockId, BlockNews>,
-    mirror: &Mirror,
-    build: &str,
-    zone: &str,
-    spot: bool,
-) -> Option<BlockId> {
-    let types = mirror
-        .types
-        .as_ref()
-        .map(|(_, t)| t.as_slice())
-        .unwrap_or_default();
-    let capacity = types
-        .iter()
-        .find(|t| t.name == build)
-        .map_or(Res::default(), MachineType::capacity);
-    let lacking = |b: &BlockId| {
-        let needs = news.get(b).map_or(&[][..], |n| n.needs.as_slice());
-        let fitting = needs
+/// The shards that one transaction changes, within what it may hold.
+struct Draft<'a> {
+    mirror: &'a Mirror,
+    value_bytes: usize,
+    txn_ops: usize,
+    shards: BTreeMap<(BlockId, u32), MachinesRec>,
+}
+
+/// Less than the 64 KiB that a transaction may have.
+const TXN_BYTES: usize = 40 * 1024;
+
+impl<'a> Draft<'a> {
+    fn new(mirror: &'a Mirror, value_bytes: usize, txn_ops: usize) -> Self {
+        Draft {
+            mirror,
+            value_bytes,
+            txn_ops,
+            shards: BTreeMap::new(),
+        }
+    }
+
+    /// Whether no further shard can be changed beside `others` other changes.
+    fn full(&self, others: usize) -> bool {
+        let bytes: usize = self.shards.values().map(MachinesRec::size).sum();
+        // One change is kept for the term.
+        self.shards.len() + others + 1 >= self.txn_ops || bytes > TXN_BYTES
+    }
+
+    fn shard(&mut self, at: (BlockId, u32), others: usize) -> Option<&mut MachinesRec> {
+        if !self.shards.contains_key(&at) {
+            if self.full(others) {
+                return None;
+            }
+            let old = self.mirror.machines.get(&at);
+            self.shards.insert(
+                at,
+                old.map_or_else(Default::default, |(_, r)| (**r).clone()),
+            );
+        }
+        self.shards.get_mut(&at)
+    }
+
+    /// Into the first shard of the block with room, or a new one.
+    fn insert(&mut self, b: BlockId, id: &MachineId, rec: MachineRec, others: usize) -> bool {
+        let mut n = 0;
+        loop {
+            let at = (b, n);
+            let now = self
+                .shards
+                .get(&at)
+                .or_else(|| self.mirror.machines.get(&at).map(|(_, r)| &**r));
+            if now.is_none_or(|r| r.has_room(&rec, self.value_bytes)) {
+                let Some(shard) = self.shard(at, others) else {
+                    return false;
+                };
+                shard.0.insert(id.clone(), rec);
+                return true;
+            }
+            n += 1;
+        }
+    }
+
+    fn remove(&mut self, at: (BlockId, u32), id: &MachineId, others: usize) -> bool {
+        let shard = self.shard(at, others);
+        shard.is_some_and(|s| s.0.remove(id).is_some())
+    }
+}
+
+/// Spreads machines over the blocks: to the one that lacks such a machine most, by
+/// what its holder reports and what it got just now, or to the one with the least.
+struct Spread<'a> {
+    news: &'a BTreeMap<BlockId, BlockNews>,
+    types: &'a [MachineType],
+    cores: BTreeMap<BlockId, f64>,
+    given: BTreeMap<BlockId, f64>,
+}
+
+impl<'a> Spread<'a> {
+    fn new(
+        mirror: &Mirror,
+        news: &'a BTreeMap<BlockId, BlockNews>,
+        types: &'a [MachineType],
+        blocks: &[BlockId],
+    ) -> Self {
+        let mut cores: BTreeMap<BlockId, f64> = blocks.iter().map(|b| (*b, 0.0)).collect();
+        for (b, _, m) in mirror.all_machines() {
+            if let (Some(sum), Some(t)) =
+                (cores.get_mut(&b), types.iter().find(|t| t.name == m.build))
+            {
+                *sum += t.cores;
+            }
+        }
+        Spread {
+            news,
+            types,
+            cores,
+            given: BTreeMap::new(),
+        }
+    }
+
+    fn next(&mut self, build: &str, zone: &str, spot: bool) -> Option<BlockId> {
+        let t = self.types.iter().find(|t| t.name == build)?;
+        let capacity = t.capacity();
+        let lacking = |b: &BlockId| {
+            let needs = self.news.get(b).map_or(&[][..], |n| n.needs.as_slice());
+            let fitting = needs
+                .iter()
+                .filter(|n| n.fits(build, zone, spot, &capacity));
+            let cores: f64 = fitting.map(|n| n.request.cores * f64::from(n.count)).sum();
+            (cores - self.given.get(b).copied().unwrap_or(0.0)).max(0.0)
+        };
+        let weight = |(b, cores): &(&BlockId, &f64)| (lacking(b), -**cores);
+        let to = self
+            .cores
             .iter()
-            .filter(|n| n.fits(build, zone, spot, &capacity));
-        fitting
-            .map(|n| n.request.cores * f64::from(n.count))
-            .sum::<f64>()
-    };
-    let cores = |r: &MachinesRec| -> f64 {
-        r.0.values()
-            .filter_map(|m| types.iter().find(|t| t.name == m.build))
-            .map(|t| t.cores)
-            .sum()
-    };
-    let weight = |(b, r): &(&BlockId, &MachinesRec)| (lacking(b), -cores(r));
-    recs.iter()
-        .max_by(|a, b| {
-            let (a, b) = (weight(a), weight(b));
-            a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
-        })
-        .map(|(b, _)| *b)
+            .max_by(|a, b| {
+                let (a, b) = (weight(a), weight(b));
+                a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+            })
+            .map(|(b, _)| *b)?;
+        *self.given.entry(to).or_default() += t.cores;
+        *self.cores.entry(to).or_default() += t.cores;
+        Some(to)
+    }
 }
 
-pub type Types = Rc<Vec<MachineType>>;
+pub type Types = Arc<Vec<MachineType>>;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -7,16 +7,24 @@
 use crate::fleet::MachineType;
 use crate::ids::{JobId, Label, MachineId, Stamp, Term};
 use crate::settings::Settings;
-use crate::store::{self, Op, keys};
+use crate::store::{self, Cond, Op, cond, keys};
 use ranges::RangeSet;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 pub const MOST_TASKS: u32 = 100_000;
-/// Finished tasks of a larger job are kept in pages of this many, so that even
-/// the worst pattern of ranges stays below what a value may hold.
-pub const PAGE: u32 = 1024;
+/// Finished tasks are kept in pages of at most this many.
+const PAGE: u32 = 1024;
+/// What a range may take as JSON, with room for the rest of its record.
+const RANGE_BYTES: f64 = 40.0;
+
+/// How many tasks a page of progress covers: even the worst pattern, every other
+/// task finished, stays below what a value may hold.
+pub fn page_tasks(value_kb: f64) -> u32 {
+    let ranges = value_kb * 1024.0 / RANGE_BYTES;
+    ((2.0 * ranges) as u32).clamp(8, PAGE)
+}
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -159,6 +167,11 @@
         if !least.fits_in(&settings.platform.teams[team].limit()) {
             return never("one task is over its team's limit".into());
         }
+        // Its record must fit into one value, with what stands beside it.
+        let most = settings.platform.state.value_kb * 1024.0 - 256.0;
+        if serde_json::to_string(self).map_or(0, |s| s.len()) as f64 > most {
+            return never("its description is too long to be recorded".into());
+        }
         let fits = |t: &MachineType| {
             self.request().fits_in(&t.capacity())
                 && t.zones.iter().any(|z| self.allows(&t.name, z, false))
@@ -170,7 +183,8 @@
     }
 }
 
-/// What the store keeps of a job that is not over.
+/// What the store keeps of a job that is not over. It never changes, so that
+/// watchers do not read a description again with every finished task.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRec {
     pub desc: JobDesc,
@@ -178,11 +192,16 @@
     pub at: Micros,
     /// The term of its team's block then: no earlier holder can have run it.
     pub born: Term,
-    /// The owner that wrote this last.
+}
+
+/// A page of a job's progress, written by its owner.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct ProgressRec {
     pub owner: Option<Label>,
-    /// Finished tasks; empty where they are kept in pages.
+    /// Finished tasks of this page.
     pub done: Vec<(u32, u32)>,
-    pub done_count: u32,
+    /// How many tasks run, of the whole job; in the first page only.
+    #[serde(default)]
     pub running: u32,
 }
 
@@ -202,26 +221,6 @@
     pub tasks: u32,
 }
 
-impl JobRec {
-    pub fn standing(&self) -> Standing {
-        if self.running > 0 {
-            Standing::Running
-        } else {
-            Standing::Pending
-        }
-    }
-}
-
-/// How a write of a job stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Writing {
-    No,
-    /// Sent; the answer is out.
-    Sent,
-    /// The stamp is not known for sure: read before the next write.
-    Reread,
-}
-
 /// A job in its owner's hands.
 #[derive(Debug)]
 pub struct Job {
@@ -229,85 +228,99 @@
     pub team: usize,
     pub at: Micros,
     pub born: Term,
+    /// Of its record, which never changes while the job lives.
     pub stamp: Stamp,
     pub done: RangeSet,
     /// Neither done nor on a machine.
     pub waiting: RangeSet,
     /// Where each attempt is.
     pub active: BTreeMap<u32, MachineId>,
-    pub writing: Writing,
-    pub dirty: bool,
-    pub written: Micros,
-    /// What was last written.
-    shown: (u32, u32),
-    dirty_pages: BTreeSet<u32>,
+    /// Those that a report has shown running.
+    running: BTreeSet<u32>,
+    /// A write of it is out.
+    pub writing: bool,
+    pub write_after: Micros,
+    /// Tasks in a page.
+    page: u32,
+    pages: BTreeMap<u32, Stamp>,
+    dirty: BTreeSet<u32>,
+    /// Whether it was last recorded as running.
+    shown_running: bool,
     /// The job's end is stored; it stays here until the watch has told so too.
     pub ended: bool,
     /// Failures in a row, and how long to wait because of them.
     pub failures: u32,
     pub not_before: Micros,
     pub failed_on: BTreeSet<MachineId>,
+    /// Time of day at which a task of it last started, as far as is known here.
+    pub last_start: Micros,
 }
 
 impl Job {
-    pub fn new(
-        rec: &JobRec,
-        stamp: Stamp,
-        pages: impl Iterator<Item = (u32, u32)>,
-        team: usize,
-    ) -> Job {
-        let done = RangeSet::from_pairs(rec.done.iter().copied().chain(pages));
-        let mut waiting = RangeSet::full(rec.desc.tasks);
-        for (a, b) in done.pairs() {
-            for i in a..b {
-                waiting.remove(i);
-            }
-        }
+    pub fn new(rec: &JobRec, stamp: Stamp, team: usize, page: u32) -> Job {
         Job {
             desc: Rc::new(rec.desc.clone()),
             team,
             at: rec.at,
             born: rec.born,
             stamp,
-            shown: (done.len(), rec.running),
-            // A job whose last task was stored but not its end is ended by us.
-            dirty: done.len() == rec.desc.tasks,
-            done,
-            waiting,
+            done: RangeSet::default(),
+            waiting: RangeSet::full(rec.desc.tasks),
             active: BTreeMap::new(),
-            writing: Writing::No,
-            written: Micros::ZERO,
-            dirty_pages: BTreeSet::new(),
+            running: BTreeSet::new(),
+            writing: false,
+            write_after: Micros::ZERO,
+            page,
+            pages: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            shown_running: false,
             ended: false,
             failures: 0,
             not_before: Micros::ZERO,
             failed_on: BTreeSet::new(),
+            last_start: rec.at,
         }
     }
 
-    pub fn all_done(&self) -> bool {
-        self.done.len() == self.desc.tasks
+    /// What an earlier owner recorded. Pages need not be cut as ours are.
+    pub fn recall(&mut self, page: u32, stamp: Stamp, rec: &ProgressRec) {
+        for (a, b) in &rec.done {
+            let b = (*b).min(self.desc.tasks);
+            self.done.add(*a, b);
+            for i in *a..b {
+                self.waiting.remove(i);
+            }
+        }
+        self.shown_running |= rec.running > 0;
+        self.page_changed(page, stamp);
+    }
+
+    /// A page of it has this stamp now, as our write's answer or the watch says.
+    pub fn page_changed(&mut self, page: u32, stamp: Stamp) {
+        let kept = self.pages.entry(page).or_default();
+        *kept = stamp.max(*kept);
     }
 
-    fn paged(&self) -> bool {
-        self.desc.tasks > PAGE
+    pub fn all_done(&self) -> bool {
+        self.done.len() == self.desc.tasks
     }
 
     /// Records a finished task; false if it was known.
     pub fn finish(&mut self, index: u32) -> bool {
         self.active.remove(&index);
+        self.running.remove(&index);
         self.waiting.remove(index);
         if index >= self.desc.tasks || !self.done.insert(index) {
             return false;
         }
-        self.dirty = true;
-        self.dirty_pages.insert(index / PAGE);
+        self.dirty.insert(index / self.page);
         true
     }
 
     /// The attempt is over without a result: the task waits again.
     pub fn requeue(&mut self, index: u32) {
         self.active.remove(&index);
+        self.running.remove(&index);
         if index < self.desc.tasks && !self.done.contains(index) {
             self.waiting.insert(index);
         }
@@ -318,70 +331,84 @@
         self.active.insert(index, on);
     }
 
-    /// Whether there is something to tell the store, and it is time to.
-    pub fn wants_write(&self, now: Micros, running: u32, gap: Micros) -> bool {
-        if self.ended || self.writing != Writing::No {
-            return false;
+    pub fn runs(&mut self, index: u32) {
+        if self.active.contains_key(&index) {
+            self.running.insert(index);
         }
-        let news = self.dirty || (self.shown.1 == 0) != (running == 0);
-        // At once when the job ends: users wait for that.
-        news && (self.all_done() || now.since(self.written) >= gap)
     }
 
-    /// The writes that bring the store up to date. None if all is said.
-    pub fn ops(&mut self, owner: &Label, running: u32) -> Vec<Op> {
+    /// Whether there is something to tell the store.
+    pub fn wants_write(&self, now: Micros) -> bool {
+        let flipped = self.shown_running == self.running.is_empty();
+        !self.ended
+            && !self.writing
+            && now >= self.write_after
+            && (self.all_done() || !self.dirty.is_empty() || flipped)
+    }
+
+    /// The job's end, in one transaction of at most `most` changes. Pages that are
+    /// left over are litter, which the leader clears.
+    pub fn end_ops(&self, most: usize) -> (Vec<Cond>, Vec<Op>) {
         let id = &self.desc.id;
-        self.shown = (self.done.len(), running);
-        self.dirty = false;
-        if self.all_done() {
-            let ended = EndedRec {
-                standing: Standing::Done,
-                tasks: self.desc.tasks,
-            };
-            return vec![
-                store::delete(keys::job(id)),
-                store::set(keys::ended(id), &ended),
-            ];
-        }
-        let rec = JobRec {
-            desc: (*self.desc).clone(),
-            at: self.at,
-            born: self.born,
-            owner: Some(owner.clone()),
-            done: if self.paged() {
-                vec![]
-            } else {
-                self.done.pairs().collect()
-            },
-            done_count: self.done.len(),
-            running,
+        let ended = EndedRec {
+            standing: Standing::Done,
+            tasks: self.desc.tasks,
         };
-        let mut ops = vec![store::set(keys::job(id), &rec)];
-        if self.paged() {
-            // A few at a time: a transaction takes only so many.
-            while ops.len() < 4 {
-                let Some(page) = self.dirty_pages.pop_first() else {
-                    break;
-                };
-                let slice = self.done.slice(page * PAGE, (page + 1) * PAGE);
-                ops.push(store::set(keys::page(id, page), &slice));
+        let conds = vec![
+            cond(keys::job(id), self.stamp),
+            cond(keys::ended(id), Stamp(0)),
+        ];
+        let mut ops = vec![
+            store::delete(keys::job(id)),
+            store::set(keys::ended(id), &ended),
+        ];
+        let pages = self.pages.keys().take(most.saturating_sub(2));
+        ops.extend(pages.map(|p| store::delete(keys::page(id, *p))));
+        (conds, ops)
+    }
+
+    /// Progress since the last write, in at most `most` pages, and which those are.
+    pub fn progress_ops(&mut self, owner: &Label, most: usize) -> (Vec<Cond>, Vec<Op>, Vec<u32>) {
+        let id = &self.desc.id;
+        if self.shown_running == self.running.is_empty() {
+            self.dirty.insert(0);
+        }
+        // A late write of ours must not undo a later one: each page has its stamp.
+        let mut conds = vec![cond(keys::job(id), self.stamp)];
+        let (mut ops, mut pages) = (Vec::new(), Vec::new());
+        while pages.len() < most {
+            let Some(page) = self.dirty.pop_first() else {
+                break;
+            };
+            let rec = ProgressRec {
+                owner: Some(owner.clone()),
+                done: self.done.slice(page * self.page, (page + 1) * self.page),
+                running: if page == 0 {
+                    self.running.len() as u32
+                } else {
+                    0
+                },
+            };
+            if page == 0 {
+                self.shown_running = !self.running.is_empty();
             }
-            self.dirty = !self.dirty_pages.is_empty();
+            let key = keys::page(id, page);
+            let stamp = self.pages.get(&page).copied().unwrap_or_default();
+            conds.push(cond(key.clone(), stamp));
+            ops.push(store::set(key, &rec));
+            pages.push(page);
         }
-        ops
+        (conds, ops, pages)
     }
 
-    /// The last write failed or may have: everything is written once more.
-    pub fn unwritten(&mut self) {
-        self.dirty = true;
-        if self.paged() {
-            let pages: Vec<u32> = self
-                .done
-                .pairs()
-                .flat_map(|(a, b)| (a / PAGE)..=((b - 1) / PAGE))
-                .collect();
-            self.dirty_pages.extend(pages);
-        }
+    /// All that was finished is recorded, or on its way to be.
+    pub fn clean(&self) -> bool {
+        self.dirty.is_empty()
+    }
+
+    /// These pages were not written, or may not have been.
+    pub fn unwritten(&mut self, pages: &[u32]) {
+        self.dirty.extend(pages);
     }
 
     /// The order among jobs of one rank: least slack first, but those whose
@@ -430,10 +457,6 @@
             desc: desc(id, tasks),
             at: Micros(0),
             born,
-            owner: None,
-            done: vec![],
-            done_count: 0,
-            running: 0,
         }
     }
 
@@ -499,6 +522,7 @@
         assert!(check(&|d| d.mem = 65.0));
         assert!(check(&|d| d.zone = Some("nowhere".into())));
         assert!(check(&|d| d.builds = Some(vec![])));
+        assert!(check(&|d| d.class = "x".repeat(17_000)));
         assert!(check(&|d| {
             d.zone = Some("y".into());
             d.cores = 8.0;
@@ -507,39 +531,45 @@
 
     #[test]
     fn finished_tasks_of_a_large_job_are_split_over_keys() {
-        let mut job = Job::new(
-            &rec("j-1", MOST_TASKS, Term(1)),
-            Stamp(1),
-            std::iter::empty(),
-            0,
-        );
-        // The worst pattern: every other task of the whole job.
-        for i in (0..MOST_TASKS).step_by(2) {
-            job.finish(i);
-        }
-        let (mut largest, mut writes) = (0, 0);
-        while job.dirty {
-            for op in job.ops(&Label::from("c0"), 1) {
-                let Op::Set { value, .. } = op else {
-                    panic!("only sets")
-                };
-                largest = largest.max(value.to_string().len());
-                writes += 1;
+        for value_kb in [1.0, 16.0, 32.0] {
+            let page = page_tasks(value_kb);
+            let mut job = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, page);
+            // The worst pattern: every other task of the whole job.
+            for i in (0..MOST_TASKS).step_by(2) {
+                job.finish(i);
+            }
+            let (mut largest, mut writes) = (0, 0);
+            let mut later = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, 999);
+            while !job.clean() {
+                let (conds, ops, pages) = job.progress_ops(&Label::from("c0"), 7);
+                assert!(ops.len() <= 7 && conds.len() == ops.len() + 1);
+                for (op, page) in ops.into_iter().zip(pages) {
+                    let Op::Set { value, .. } = op else {
+                        panic!("only sets")
+                    };
+                    largest = largest.max(value.to_string().len());
+                    writes += 1;
+                    let rec = serde_json::from_value(value).expect("a page");
+                    later.recall(page, Stamp(writes), &rec);
+                }
             }
+            assert!((largest as f64) < value_kb * 1024.0, "{largest}");
+            assert_eq!(later.done, job.done, "nothing is lost between the pages");
         }
-        assert!(largest < 8 * 1024, "{largest}");
-        assert!(writes > 90);
     }
 
     #[test]
     fn an_ended_job_is_moved_in_one_transaction() {
-        let mut job = Job::new(&rec("j-1", 2, Term(1)), Stamp(1), std::iter::empty(), 0);
+        let mut job = Job::new(&rec("j-1", 2, Term(1)), Stamp(1), 0, 512);
         job.finish(0);
-        assert!(!job.wants_write(Micros(1), 1, Micros(2_000_000)), "batched");
         assert!(job.finish(1) && !job.finish(1));
-        assert!(job.wants_write(Micros(1), 0, Micros(2_000_000)), "at once");
-        let ops = job.ops(&Label::from("c0"), 0);
+        job.page_changed(0, Stamp(5));
+        assert!(job.all_done() && job.wants_write(Micros(1)));
+        let (conds, ops) = job.end_ops(3);
         assert_eq!(ops[0], store::delete("r/jobs/j-1".into()));
         assert!(matches!(&ops[1], Op::Set { key, .. } if key == "ended/j-1"));
+        assert_eq!(ops[2], store::delete("r/done/j-1/0000".into()));
+        assert_eq!(conds[0], cond("r/jobs/j-1".into(), Stamp(1)));
+        assert_eq!(job.end_ops(2).1.len(), 2, "a page left over is litter");
     }
 }
--- /dev/null
+++ b/src/placement/needs.rs
@@ -0,0 +1,125 @@
+//! The room that waiting work lacks, for renting and for moving machines.
+
+use super::Scene;
+use crate::clock::Micros;
+use crate::fairness::Res;
+use crate::jobs::Job;
+use crate::workers::Leaving;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+/// Waiting work of one class.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Need {
+    pub request: Res,
+    pub builds: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    /// Tasks' worth of room that is missing.
+    pub count: u32,
+    pub estimate_s: f64,
+    pub waited_long: bool,
+}
+
+impl Need {
+    pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Res) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self
+                .builds
+                .as_ref()
+                .is_none_or(|b| b.iter().any(|b| b == build))
+            && self.request.fits_in(capacity)
+    }
+
+    fn like(&self, o: &Need) -> bool {
+        self.request == o.request
+            && self.builds == o.builds
+            && self.zone == o.zone
+            && self.spot == o.spot
+            && self.waited_long == o.waited_long
+    }
+}
+
+/// Machines on their way that are alike: capacity, type, zone, kind, how many.
+pub type Coming<'a> = (Res, &'a str, &'a str, bool, u32);
+
+/// Work that has waited this long rents at once.
+const LONG: Micros = Micros::from_millis(10_000);
+
+/// The room that the block's waiting work still lacks, after what is booting.
+pub fn needs(scene: &Scene<'_>, coming: &[Coming<'_>], horizon: Micros) -> Vec<Need> {
+    let mut left: BTreeMap<usize, Res> = BTreeMap::new();
+    for &t in scene.teams {
+        let limit = scene.settings.platform.teams[t].limit();
+        left.insert(t, limit - scene.weights.of(t).used);
+    }
+    let mut jobs: Vec<&Job> = scene
+        .jobs
+        .values()
+        .filter(|j| !j.ended && !j.waiting.is_empty())
+        .collect();
+    jobs.sort_by_cached_key(|j| (Reverse(j.desc.rank), j.slack(scene.day)));
+    let mut rooms: Vec<Coming<'_>> = coming.to_vec();
+    let mut carry = 0.0;
+    let mut needs: Vec<Need> = Vec::new();
+    for job in jobs {
+        let d = &job.desc;
+        let request = d.request();
+        let room = left
+            .get_mut(&job.team)
+            .map_or(0, |l| request.times_in(l).min(job.waiting.len()));
+        // Short tasks run one after another in the time that a boot takes.
+        let estimate = Micros::from_secs(d.estimate_s).0 as f64;
+        let part = (estimate / horizon.0.max(1) as f64).min(1.0);
+        let waited_long = scene.day.since(job.at) >= LONG;
+        // What is left of one job's part counts with the next one's; nobody waits
+        // for ever because his part is small.
+        let exact = f64::from(room) * part + carry;
+        // Where it has no machine at all, nothing will get free for it.
+        let nowhere = !scene.machines.values().any(|m| {
+            m.leaving == Leaving::No
+                && !m.draining
+                && d.allows(&m.build, &m.zone, m.spot)
+                && request.fits_in(&m.capacity)
+        });
+        let mut wanted = if waited_long || nowhere {
+            exact.ceil()
+        } else {
+            exact.floor()
+        } as u32;
+        carry = (exact - f64::from(wanted)).max(0.0);
+        wanted = wanted.min(room);
+        if let Some(l) = left.get_mut(&job.team) {
+            *l -= request.scale(f64::from(wanted));
+        }
+        for (capacity, build, zone, spot, machines) in &mut rooms {
+            if wanted == 0 {
+                break;
+            }
+            if *machines > 0 && d.allows(build, zone, *spot) {
+                let per = request.times_in(capacity);
+                let used = wanted.div_ceil(per.max(1)).min(*machines);
+                wanted -= (used * per).min(wanted);
+                *machines -= if per > 0 { used } else { 0 };
+            }
+        }
+        if wanted == 0 {
+            continue;
+        }
+        let need = Need {
+            request,
+            builds: d.builds.clone(),
+            zone: d.zone.clone(),
+            spot: d.spot,
+            count: wanted,
+            estimate_s: d.estimate_s,
+            waited_long,
+        };
+        match needs.iter_mut().find(|n| n.like(&need)) {
+            Some(n) => n.count += need.count,
+            None => needs.push(need),
+        }
+    }
+    needs
+}
--- /dev/null
+++ b/src/placement/preempt.rs
@@ -0,0 +1,277 @@
+//! What to stop, for whom: work of a lower rank, or work above its team's
+//! guarantee for a team below its own, and only where little is lost.
+
+use super::{Scene, launchable, usable};
+use crate::clock::Micros;
+use crate::fairness::{Res, Weights};
+use crate::ids::{JobId, MachineId};
+use crate::jobs::Job;
+use crate::workers::{Key, Machine, Phase, Reserved, Try};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Work to be stopped for a job, and the room that this keeps for it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stop {
+    pub machine: MachineId,
+    /// With the time that each needs to save.
+    pub victims: Vec<(Key, f64)>,
+    pub reserve: Reserved,
+}
+
+const PRESSED_US: i64 = 8_000_000;
+const LATE_US: i64 = 2_000_000;
+const RELAXED_US: i64 = 15_000_000;
+const PATIENCE: Micros = Micros::from_millis(10_000);
+/// Room that was freed for a job is kept for it this long.
+const KEPT: Micros = Micros::from_millis(8_000);
+/// Work this close to its end is not worth stopping.
+const NEARLY_DONE_S: f64 = 3.0;
+/// Stopping and starting once more costs this much besides what is lost.
+const RESTART_S: f64 = 2.0;
+/// Each job that is looked at costs a walk over the machines.
+const MOST_JOBS: usize = 6;
+
+/// Whether stopping others still helps a job, and waiting longer would not do:
+/// its deadline is near but not lost, or it has none and has waited for long.
+fn pressed(job: &Job, day: Micros) -> bool {
+    match job.desc.due_s {
+        Some(_) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
+        None => day.since(job.at) >= PATIENCE,
+    }
+}
+
+/// Whether a job can stand that a task of it is stopped.
+fn relaxed(job: &Job, ran: Micros, day: Micros) -> bool {
+    let left = job.slack(day) + ran.0 as i64;
+    left > RELAXED_US
+}
+
+/// What is lost may be this part of what is won. Measured: at the whole of it,
+/// stopping cost all classes more than it gave the one that it was for.
+const WORTH_IT: f64 = 0.25;
+
+/// What stopping an attempt loses, in core-seconds; none: it is left alone.
+fn loss(t: &Try, now: Micros) -> Option<(f64, f64)> {
+    let d = t.desc.as_ref()?;
+    if t.halt.is_some()
+        || t.abandoned.is_some()
+        || !matches!(t.phase, Phase::Pulling | Phase::Running)
+    {
+        return None;
+    }
+    let ran = t.running_since.map_or(0.0, |r| now.since(r).as_secs());
+    if t.running_since.is_some() && d.estimate_s - ran < NEARLY_DONE_S + d.save_s {
+        return None;
+    }
+    let (lost, leeway) = if d.checkpoint_s > 0.0 {
+        (d.save_s.min(ran), d.save_s + 1.0)
+    } else {
+        (ran, 0.0)
+    };
+    Some(((lost + RESTART_S) * d.cores.max(0.1), leeway))
+}
+
+/// Decides what to stop: for work of a higher rank, or so that a team gets its
+/// guarantee from one that runs above its own. Only if little is lost for what is
+/// won (`WORTH_IT`).
+pub fn preempt(scene: &Scene<'_>) -> Vec<Stop> {
+    let mut jobs: Vec<(&JobId, &Job)> = scene
+        .jobs
+        .iter()
+        .filter(|(_, j)| launchable(j, scene.now, scene.rebuilding) && pressed(j, scene.day))
+        // Where its tasks may go changes with each; it waits for its turn.
+        .filter(|(_, j)| !j.desc.one_zone && !j.desc.apart)
+        .collect();
+    if jobs.is_empty() {
+        return Vec::new();
+    }
+    let mut weights = scene.weights.clone();
+    let heavy: BTreeMap<usize, f64> = scene
+        .teams
+        .iter()
+        .map(|t| (*t, scene.heaviness(&weights, *t)))
+        .collect();
+    jobs.sort_by(|(_, a), (_, b)| {
+        let heavy = |j: &Job| heavy.get(&j.team).copied().unwrap_or(0.0);
+        b.desc
+            .rank
+            .cmp(&a.desc.rank)
+            .then(heavy(a).total_cmp(&heavy(b)))
+            .then(a.slack(scene.day).cmp(&b.slack(scene.day)))
+    });
+    jobs.truncate(MOST_JOBS);
+    let mut stops: Vec<Stop> = Vec::new();
+    let mut gone: BTreeSet<Key> = BTreeSet::new();
+    let mut free: BTreeMap<&MachineId, Res> = BTreeMap::new();
+    for (id, m) in scene
+        .machines
+        .iter()
+        .filter(|(_, m)| usable(m, scene.now, scene.heard_within))
+    {
+        let mut room = m.capacity - m.load.summed;
+        // What is being stopped was stopped for someone.
+        for t in m
+            .tries
+            .values()
+            .filter(|t| t.halt.is_some() && t.phase != Phase::Exited)
+        {
+            room += t.request();
+        }
+        for r in m.reserved.iter().filter(|r| r.until > scene.now) {
+            room -= r.request.scale(f64::from(r.count));
+        }
+        free.insert(id, room);
+    }
+    for (id, job) in jobs {
+        let d = &job.desc;
+        let request = d.request();
+        let limits = &scene.settings.platform.teams[job.team];
+        let reserved = |m: &Machine| -> u32 {
+            m.reserved
+                .iter()
+                .filter(|r| r.job == *id && r.until > scene.now)
+                .map(|r| r.count)
+                .sum()
+        };
+        let coming: u32 = scene.machines.values().map(reserved).sum();
+        let mut used = weights.of(job.team).used;
+        used += request.scale(f64::from(coming));
+        let mut pending = request
+            .times_in(&(limits.limit() - used))
+            .min(job.waiting.len().saturating_sub(coming));
+        let allowed =
+            |m: &Machine| d.allows(&m.build, &m.zone, m.spot) && !m.avoided_by(id, scene.now);
+        // Room that another's stop left over.
+        for (m, room) in &mut free {
+            let n = request.times_in(room).min(pending);
+            if n > 0 && allowed(&scene.machines[*m]) {
+                *room -= request.scale(f64::from(n));
+                pending -= n;
+            }
+        }
+        if pending == 0 {
+            continue;
+        }
+        let mut after = used;
+        after += request;
+        let guaranteed = after.fits_in(&{
+            let g = limits.guarantee();
+            Res::new(g.cores, g.cards, f64::INFINITY)
+        });
+        // One walk over the machines for the whole class, the cheapest first.
+        let mut plans: Vec<Plan<'_>> = free
+            .iter()
+            .filter(|(m, _)| {
+                let m = &scene.machines[**m];
+                allowed(m) && request.fits_in(&m.capacity)
+            })
+            .filter_map(|(m, room)| {
+                victims(scene, &weights, m, *room, job, pending, guaranteed, &gone)
+            })
+            .collect();
+        plans.sort_by(|a, b| a.price.total_cmp(&b.price));
+        for plan in plans {
+            if pending == 0 {
+                break;
+            }
+            let m = &scene.machines[plan.machine];
+            let Some(room) = free.get_mut(plan.machine) else {
+                continue;
+            };
+            let count = plan.count.min(pending);
+            let mut load = m.load.clone();
+            weights.remove(&load, m.capacity);
+            for (key, _) in &plan.victims {
+                if let Some(t) = m.tries.get(key) {
+                    *room += t.request();
+                    if let Some(team) = t.team {
+                        load.take(team, t.request().scale(-1.0));
+                    }
+                }
+                gone.insert(key.clone());
+            }
+            weights.add(&load, m.capacity);
+            *room -= request.scale(f64::from(count));
+            pending -= count;
+            let reserve = Reserved {
+                job: id.clone(),
+                request,
+                count,
+                until: scene.now + KEPT,
+            };
+            stops.push(Stop {
+                machine: plan.machine.clone(),
+                victims: plan.victims,
+                reserve,
+            });
+        }
+    }
+    stops
+}
+
+struct Plan<'a> {
+    machine: &'a MachineId,
+    victims: Vec<(Key, f64)>,
+    count: u32,
+    /// Lost per won.
+    price: f64,
+}
+
+#[allow(clippy::too_many_arguments)]
+fn victims<'a>(
+    scene: &Scene<'_>,
+    weights: &Weights,
+    machine: &'a MachineId,
+    room: Res,
+    job: &Job,
+    pending: u32,
+    guaranteed: bool,
+    gone: &BTreeSet<Key>,
+) -> Option<Plan<'a>> {
+    let (m, d) = (scene.machines.get(machine)?, &job.desc);
+    let request = d.request();
+    let may = |t: &Try| {
+        let Some(v) = &t.desc else { return false };
+        let ran = t.running_since.map_or(Micros::ZERO, |r| scene.now.since(r));
+        if scene
+            .jobs
+            .get(&v.id)
+            .is_some_and(|j| !relaxed(j, ran, scene.day))
+        {
+            return false;
+        }
+        if v.rank < d.rank {
+            return true;
+        }
+        // Work that another team runs above its own guarantee.
+        let above = t.team.filter(|v| *v != job.team).map(|v| {
+            let g = scene.settings.platform.teams[v].guarantee();
+            (weights.of(v).used - t.request()).cores >= g.cores
+        });
+        guaranteed && above == Some(true)
+    };
+    let mut candidates: Vec<(&Key, &Try, f64, f64)> = m
+        .tries
+        .iter()
+        .filter(|(k, t)| !gone.contains(k) && may(t))
+        .filter_map(|(k, t)| loss(t, scene.now).map(|(lost, leeway)| (k, t, lost, leeway)))
+        .collect();
+    candidates.sort_by(|a, b| a.2.total_cmp(&b.2));
+    let (mut room, mut lost, mut victims) = (room, 0.0, Vec::new());
+    for (key, t, l, leeway) in candidates {
+        room += t.request();
+        lost += l;
+        victims.push((key.clone(), leeway));
+        if request.fits_in(&room) {
+            break;
+        }
+    }
+    let count = request.times_in(&room).min(pending);
+    let won = f64::from(count) * d.cores.max(0.1) * d.estimate_s.max(1.0);
+    (!victims.is_empty() && count > 0 && lost <= won * WORTH_IT).then(|| Plan {
+        machine,
+        victims,
+        count,
+        price: lost / won,
+    })
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -225,6 +225,14 @@
         Micros::from_secs(self.platform.workers.lease_s * (1.0 + DRIFT) + 1.0)
     }
 
+    /// How many changes a transaction of ours has at most: one that takes much of a
+    /// second's changes is refused again and again while others write.
+    pub fn most_changes(&self) -> usize {
+        let state = &self.platform.state;
+        let part = (state.write_rps / 4.0) as usize;
+        state.txn_ops.min(part.max(4))
+    }
+
     pub fn team(&self, name: &str) -> Option<usize> {
         self.platform.teams.iter().position(|t| t.name == name)
     }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -36,8 +36,10 @@
     /// Takes `n` if that leaves `keep` (a share of the burst) for others.
     pub fn take(&mut self, now: Micros, n: f64, keep: f64) -> bool {
         self.refill(now);
-        // More than a whole bucket may be taken at once, as a debt.
-        if self.level - n.min(self.rate) < keep * self.rate {
+        // More than the bucket ever holds for this may be taken at once, as a debt:
+        // or what is larger than that would wait for ever.
+        let most = (1.0 - keep).min(1.0) * self.rate;
+        if self.level - n.min(most) < keep * self.rate - 1e-9 {
             return false;
         }
         self.level -= n;
@@ -60,8 +62,15 @@
 
 /// Nobody waits longer than this for the store.
 const DEADLINE: Duration = Duration::from_millis(2500);
-/// A watch answers within this if nothing changes.
-const WATCH_MS: u64 = 2000;
+/// A watch answers within this if nothing changes. Short: what users ask is
+/// answered by the first reading begun after they asked.
+const WATCH_MS: u64 = 300;
+/// A reading that hangs for so long is given up: in an outage watches stay open.
+const WATCH_DEADLINE: Duration = Duration::from_millis(1_800);
+/// Controllers rarely need their share all at once, and what is over the limit is
+/// refused and asked again: each may use so many shares.
+const OVERBOOKED: f64 = 2.0;
+const WAIT: Duration = Duration::from_millis(40);
 
 #[derive(Deserialize)]
 struct Ledger {
@@ -92,9 +101,10 @@
     /// `share` of the service's limits is this controller's.
     pub fn new(pool: Rc<Pool>, clock: Steady, rps: f64, write_rps: f64, share: f64) -> Self {
         let now = clock.now();
+        let part = (share * OVERBOOKED).min(1.0);
         let budget = Budget {
-            requests: Bucket::new(rps * share, now),
-            writes: Bucket::new(write_rps * share, now),
+            requests: Bucket::new(rps * part, now),
+            writes: Bucket::new(write_rps * part, now),
         };
         Store {
             pool,
@@ -125,17 +135,24 @@
             _ => 0,
         };
         let until = self.clock.now() + Micros::from_millis(800);
-        while !self.admit(urgency, writes) {
+        loop {
+            if self.admit(urgency, writes) {
+                match self.send(&request).await {
+                    // Others used what was left of the limit: once more, a little later.
+                    Sent::OverLimit if urgency != Urgency::Spare => {}
+                    Sent::OverLimit => return Reply::Refused,
+                    Sent::Reply(reply) => return reply,
+                }
+            }
             if self.clock.now() >= until {
                 return Reply::Refused;
             }
-            tokio::time::sleep(Duration::from_millis(40)).await;
+            tokio::time::sleep(WAIT).await;
         }
-        self.send(request).await
     }
 
-    async fn send(&self, request: Request) -> Reply {
-        let (method, path, body) = match &request {
+    async fn send(&self, request: &Request) -> Sent {
+        let (method, path, body) = match request {
             Request::Get { key } => ("GET", format!("/keys/{key}"), None),
             Request::List { starts, since } => {
                 let since = since
@@ -159,11 +176,12 @@
             Request::EndLease { tenure } => ("DELETE", format!("/leases/{tenure}"), None),
         };
         let sent = self.pool.call(method, &path, body.as_ref(), DEADLINE).await;
-        match sent {
-            Ok((status, body)) => read_reply(&request, status, &body),
+        Sent::Reply(match sent {
+            Ok((429, _)) => return Sent::OverLimit,
+            Ok((status, body)) => read_reply(request, status, &body),
             Err(Failure::NotSent) => Reply::Refused,
             Err(Failure::NoAnswer) => Reply::Unknown,
-        }
+        })
     }
 
     /// Reads everything below the root; none if the store can't be read now.
@@ -194,8 +212,7 @@
             return Followed::Failed;
         }
         let path = format!("/follow?starts={ROOT}&since={since}&waitMs={WATCH_MS}");
-        let deadline = Duration::from_millis(WATCH_MS) + DEADLINE;
-        match self.pool.call("GET", &path, None, deadline).await {
+        match self.pool.call("GET", &path, None, WATCH_DEADLINE).await {
             Ok((200, body)) => match serde_json::from_slice::<Log>(&body) {
                 Ok(log) => Followed::Changes(log.log, log.ledger),
                 Err(_) => Followed::Failed,
@@ -207,6 +224,12 @@
     }
 }
 
+enum Sent {
+    Reply(Reply),
+    /// 429: surely not carried out.
+    OverLimit,
+}
+
 pub enum Followed {
     Changes(Vec<Change>, u64),
     TooOld,
@@ -265,6 +288,14 @@
         assert!(b.take(Micros(1_000_000), 1.0, 0.35));
     }
 
+    #[test]
+    fn what_is_larger_than_the_bucket_passes_as_a_debt() {
+        let mut b = Bucket::new(10.0, Micros(0));
+        assert!(b.take(Micros(0), 16.0, 0.1));
+        assert!(!b.take(Micros(1_000_000), 1.0, 0.1), "still in debt");
+        assert!(b.take(Micros(1_800_000), 1.0, 0.1));
+    }
+
     #[test]
     fn only_clear_answers_are_clear() {
         let txn = Request::Txn {
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -3,11 +3,11 @@
 //! It may lag. Nothing is decided by it alone: every write names the stamps
 //! that it relies on, so a view that is out of date makes the write fail.
 
-use super::{Change, Row, keys};
-use crate::blocks::{HireRec, HolderRec, LeaderRec, MachinesRec, MemberRec, TermRec};
+use super::{Change, Row};
+use crate::blocks::{HireRec, HolderRec, LeaderRec, MachineRec, MachinesRec, MemberRec, TermRec};
 use crate::fleet::MachineType;
-use crate::ids::{BlockId, JobId, Label, Stamp};
-use crate::jobs::JobRec;
+use crate::ids::{BlockId, JobId, Label, MachineId, Stamp};
+use crate::jobs::{JobRec, ProgressRec};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -23,9 +23,12 @@
     pub types: Option<(Stamp, Vec<MachineType>)>,
     pub members: Table<Label, MemberRec>,
     pub holders: Table<BlockId, HolderRec>,
-    pub machines: Table<BlockId, Rc<MachinesRec>>,
+    /// Each block's machines, in shards.
+    pub machines: Table<(BlockId, u32), Rc<MachinesRec>>,
+    /// Where each machine is recorded.
+    pub(crate) home: BTreeMap<MachineId, (BlockId, u32)>,
     pub jobs: Table<JobId, Rc<JobRec>>,
-    pub pages: Table<(JobId, u32), Vec<(u32, u32)>>,
+    pub pages: Table<(JobId, u32), ProgressRec>,
     pub hires: Table<String, HireRec>,
     pub sums: Table<Label, Value>,
 }
@@ -36,6 +39,7 @@
     Holder(BlockId),
     Machines(BlockId),
     Job(JobId),
+    Page(JobId, u32),
     Other,
 }
 
@@ -111,7 +115,24 @@
                     put(&mut self.holders, b, value, stamp);
                     return Touched::Holder(b);
                 }
-                put_rc(&mut self.machines, b, value, stamp);
+            }
+            ["r", "blocks", b, "machines", shard] => {
+                let (Ok(b), Ok(shard)) = (b.parse().map(BlockId), shard.parse()) else {
+                    return Touched::Other;
+                };
+                let at = (b, shard);
+                if let Some((_, old)) = self.machines.get(&at) {
+                    // A machine that moved may be at its new place already.
+                    for id in old.0.keys() {
+                        if self.home.get(id) == Some(&at) {
+                            self.home.remove(id);
+                        }
+                    }
+                }
+                put_rc(&mut self.machines, at, value, stamp);
+                if let Some((_, new)) = self.machines.get(&at) {
+                    self.home.extend(new.0.keys().map(|id| (id.clone(), at)));
+                }
                 return Touched::Machines(b);
             }
             ["r", "jobs", id] => {
@@ -121,7 +142,9 @@
             }
             ["r", "done", id, page] => {
                 if let Ok(page) = page.parse() {
-                    put(&mut self.pages, (JobId::from(*id), page), value, stamp);
+                    let id = JobId::from(*id);
+                    put(&mut self.pages, (id.clone(), page), value, stamp);
+                    return Touched::Page(id, page);
                 }
             }
             _ => {}
@@ -134,8 +157,32 @@
         self.holders.get(&b).map_or(Stamp(0), |h| h.0)
     }
 
-    pub fn machines_stamp(&self, b: BlockId) -> Stamp {
-        self.machines.get(&b).map_or(Stamp(0), |m| m.0)
+    pub fn shard_stamp(&self, at: (BlockId, u32)) -> Stamp {
+        self.machines.get(&at).map_or(Stamp(0), |m| m.0)
+    }
+
+    /// A block's shards, in order.
+    pub fn shards(&self, b: BlockId) -> impl Iterator<Item = (u32, Stamp, &Rc<MachinesRec>)> {
+        self.machines
+            .range((b, 0)..=(b, u32::MAX))
+            .map(|((_, n), (stamp, rec))| (*n, *stamp, rec))
+    }
+
+    pub fn machines_of(&self, b: BlockId) -> impl Iterator<Item = (&MachineId, &MachineRec)> {
+        self.shards(b).flat_map(|(_, _, rec)| rec.0.iter())
+    }
+
+    /// Every recorded machine of every block.
+    pub fn all_machines(&self) -> impl Iterator<Item = (BlockId, &MachineId, &MachineRec)> {
+        let shards = self.machines.iter();
+        shards.flat_map(|((b, _), (_, rec))| rec.0.iter().map(move |(id, m)| (*b, id, m)))
+    }
+
+    /// Where a machine is recorded, and how.
+    pub fn machine(&self, id: &MachineId) -> Option<((BlockId, u32), &MachineRec)> {
+        let at = *self.home.get(id)?;
+        let (_, rec) = self.machines.get(&at)?;
+        Some((at, rec.0.get(id)?))
     }
 
     /// Whether the incarnation that a block names still has its member lease.
@@ -145,11 +192,45 @@
             .is_some_and(|(stamp, _)| *stamp == rec.incarnation)
     }
 
-    /// The keys of a job's finished pages, for tidying up.
-    pub fn page_keys(&self, id: &JobId) -> Vec<String> {
-        self.pages
-            .range((id.clone(), 0)..=(id.clone(), u32::MAX))
-            .map(|((id, page), _)| keys::page(id, *page))
-            .collect()
+    /// A job's progress, with the stamps of its pages.
+    pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Stamp, &ProgressRec)> {
+        let pages = self.pages.range((id.clone(), 0)..=(id.clone(), u32::MAX));
+        pages.map(|((_, page), (stamp, rec))| (*page, *stamp, rec))
+    }
+
+    /// Progress of jobs that are over, of no use to anyone: some of it.
+    pub fn litter(&self, most: usize) -> Vec<(JobId, u32)> {
+        let over = self
+            .pages
+            .keys()
+            .filter(|(id, _)| !self.jobs.contains_key(id));
+        over.take(most).cloned().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_machine_that_moves_between_shards_is_found_where_it_is_now() {
+        let rec = |ids: &[&str]| {
+            let all = ids.iter().map(|id| (*id).into());
+            let blank = |id: MachineId| (id, MachineRec::blank(String::new(), "big", "x", false));
+            serde_json::to_value(MachinesRec(all.map(blank).collect())).expect("a record")
+        };
+        let mut m = Mirror::default();
+        m.apply(
+            "r/blocks/0/machines/0",
+            Some(rec(&["m-1", "m-2"])),
+            Stamp(1),
+        );
+        // One transaction, told in the order that loses it if the old place wins.
+        m.apply("r/blocks/1/machines/3", Some(rec(&["m-1"])), Stamp(2));
+        m.apply("r/blocks/0/machines/0", Some(rec(&["m-2"])), Stamp(2));
+        let at = |id: &str| m.machine(&id.into()).map(|(at, _)| at);
+        assert_eq!(at("m-1"), Some((BlockId(1), 3)));
+        assert_eq!(at("m-2"), Some((BlockId(0), 0)));
+        assert_eq!(m.machines_of(BlockId(0)).count(), 1);
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -25,8 +25,9 @@
     pub fn holder(b: BlockId) -> String {
         format!("r/blocks/{b}/holder")
     }
-    pub fn machines(b: BlockId) -> String {
-        format!("r/blocks/{b}/machines")
+    /// A block's machines don't fit one value: they are kept in shards.
+    pub fn machines(b: BlockId, shard: u32) -> String {
+        format!("r/blocks/{b}/machines/{shard}")
     }
     pub fn job(id: &JobId) -> String {
         format!("r/jobs/{id}")
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,8 +2,8 @@
 //! that a holder keeps of each of its machines.
 
 use crate::clock::Micros;
-use crate::fairness::Res;
-use crate::ids::{Attempt, MachineId, TaskId, Term, Token};
+use crate::fairness::{Load, Res};
+use crate::ids::{Attempt, JobId, MachineId, Stamp, TaskId, Term, Token};
 use crate::jobs::JobDesc;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -118,6 +118,8 @@
     pub running_since: Option<Micros>,
     /// Its launch went out by `/do` or in an answer.
     pub sent: bool,
+    /// Answers that carried an order for it since it last changed.
+    told: u32,
     /// To be stopped, with this much time to save.
     pub halt: Option<f64>,
     /// Its halt went out.
@@ -138,6 +140,7 @@
             since: now,
             running_since: (phase == Phase::Running).then_some(now),
             sent: phase != Phase::Launching,
+            told: 0,
             halt: None,
             halt_sent: false,
             abandoned: None,
@@ -157,7 +160,7 @@
 /// Room that was freed for a job by stopping others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reserved {
-    pub job: crate::ids::JobId,
+    pub job: JobId,
     pub request: Res,
     pub count: u32,
     pub until: Micros,
@@ -185,6 +188,8 @@
     Stored,
 }
 
+/// So often an order or a token may go unheeded before the machine is suspect.
+const UNHEEDED: u32 = 3;
 const AVOIDED: Micros = Micros::from_millis(20_000);
 
 /// A holder's picture of one machine.
@@ -197,12 +202,28 @@
     pub addr: String,
     pub term: Term,
     epoch: u64,
+    /// Of the newest report that counts; 0: there is none yet.
     pub shift: u64,
     tally: u64,
+    /// Of the last report that did not count, for direct words until one does.
+    heard_shift: u64,
     /// Held by an earlier holder: nothing is known of it until a report has our token.
     pub unsettled: bool,
     pub added: Micros,
+    /// When a report of it counted last.
     pub last_heard: Option<Micros>,
+    /// A report arrived that does not show our token yet: it is up, but what it
+    /// says may be a late copy.
+    pub knocked: bool,
+    /// The highest token that a report has shown.
+    seen: Token,
+    /// Answers in a row after which it did not show our token.
+    unheard: u32,
+    /// A report came that looks older than what is known: a late copy, or a worker
+    /// that began anew. Its own answer to a direct word will tell.
+    pub doubt: bool,
+    /// A direct word could not be sent since it last reported.
+    pub unreached: bool,
     /// When a report of it was last answered with a valid token.
     pub last_answer: Micros,
     pub tries: BTreeMap<Key, Try>,
@@ -215,6 +236,8 @@
     unfenced: Option<Token>,
     pub draining: bool,
     pub leaving: Leaving,
+    /// The stamp of its shard when its record was last to be changed by us.
+    pub left_at: Stamp,
     /// Recorded as used: nothing is launched on it before.
     pub used: bool,
     /// No direct command before then.
@@ -224,10 +247,14 @@
     pub idle_since: Micros,
     /// Room kept for jobs that others were stopped for.
     pub reserved: Vec<Reserved>,
+    /// The head job that freed room here is held for.
+    pub held_for: Option<JobId>,
+    /// What its attempts add up to, as the block's sums have it.
+    pub load: Load,
     /// Gigabytes of an image fetched per second.
     pub fetch: f64,
     /// Jobs that failed here since anything last succeeded.
-    pub failed_jobs: BTreeMap<crate::ids::JobId, Micros>,
+    pub failed_jobs: BTreeMap<JobId, Micros>,
 }
 
 impl Machine {
@@ -250,9 +277,15 @@
             epoch: 0,
             shift: 0,
             tally: 0,
+            heard_shift: 0,
             unsettled: false,
             added: now,
             last_heard: None,
+            knocked: false,
+            seen: Token(0),
+            unheard: 0,
+            doubt: false,
+            unreached: false,
             last_answer: now,
             tries: BTreeMap::new(),
             images: BTreeSet::new(),
@@ -261,11 +294,14 @@
             unfenced: None,
             draining: false,
             leaving: Leaving::No,
+            left_at: Stamp(0),
             used: false,
             direct_after: Micros::ZERO,
             introductions: 0,
             idle_since: now,
             reserved: Vec::new(),
+            held_for: None,
+            load: Load::default(),
             fetch: 0.0,
             failed_jobs: BTreeMap::new(),
         }
@@ -275,6 +311,16 @@
         Token::of(self.term, self.epoch)
     }
 
+    /// The session that a direct word is meant for; a wrong one is refused, with a
+    /// fresh report.
+    pub fn session(&self) -> u64 {
+        if self.shift > 0 {
+            self.shift
+        } else {
+            self.heard_shift
+        }
+    }
+
     /// Fences everything that we sent before, delayed `/do` commands included,
     /// without asking the store: the term is ours, the epoch below it too.
     fn fence(&mut self) -> Token {
@@ -290,7 +336,7 @@
     }
 
     /// Whether a job failed here lately: it tries other machines first.
-    pub fn avoided_by(&self, job: &crate::ids::JobId, now: Micros) -> bool {
+    pub fn avoided_by(&self, job: &JobId, now: Micros) -> bool {
         self.failed_jobs
             .get(job)
             .is_some_and(|at| now.since(*at) < AVOIDED)
@@ -342,10 +388,65 @@
         (r.shift, r.tally) > (self.shift, self.tally)
     }
 
-    /// Takes in a newer report.
+    /// Whether it shows our term: only then does a report count for anything. What
+    /// an earlier holder sent may still have been on its way when an older one was
+    /// made, and a copy of an older one may come at any time.
+    pub fn shows_term(&self, r: &Report) -> bool {
+        r.baton >= Token::of(self.term, 0)
+    }
+
+    /// A report that does not count: from before our term, or older than another.
+    pub fn uncounted(&mut self, r: &Report) {
+        self.knocked = true;
+        self.heard_shift = r.shift;
+        if self.seen > Token(0) && r.baton < self.seen {
+            self.doubt = true;
+        }
+    }
+
+    /// Its answer to our own direct word is older than what we know: the worker has
+    /// begun anew and forgotten its token. What was sent before may still reach it,
+    /// so that all it had is over only once it shows a token above.
+    pub fn reborn(&mut self, r: &Report) {
+        self.shift = r.shift;
+        self.tally = r.tally;
+        self.seen = r.baton;
+        self.images.clear();
+        self.doubt = false;
+        let token = self.fence();
+        self.unfenced = Some(token);
+    }
+
+    /// Its token never came down before: a direct answer like this is a new worker's.
+    pub fn is_reborn(&self, r: &Report) -> bool {
+        !self.newer(r) && r.baton < self.seen
+    }
+
+    /// Reports arrive, but what they show says that our answers do not: nothing more
+    /// is started there, and what is open stays open.
+    pub fn suspect(&self) -> bool {
+        self.unheard >= UNHEEDED || self.tries.values().any(|t| t.told >= UNHEEDED)
+    }
+
+    /// An answer with these orders is on its way.
+    pub fn answered(&mut self, now: Micros, r: &Report) {
+        self.last_answer = now;
+        if r.baton < self.token() {
+            self.unheard += 1;
+        }
+    }
+
+    /// Takes in a newer report that shows our term.
     pub fn observe(&mut self, now: Micros, r: &Report) -> Vec<Event> {
         let mut events = Vec::new();
         self.last_heard = Some(now);
+        self.knocked = true;
+        self.doubt = false;
+        self.unreached = false;
+        self.seen = self.seen.max(r.baton);
+        if r.baton >= self.token() {
+            self.unheard = 0;
+        }
         if r.addr != self.addr {
             self.addr.clone_from(&r.addr);
         }
@@ -361,9 +462,7 @@
         if self.unfenced.is_some_and(|t| r.baton >= t) {
             self.unfenced = None;
         }
-        if self.unsettled && r.baton >= Token::of(self.term, 0) {
-            self.unsettled = false;
-        }
+        self.unsettled = false;
         self.taken_at = r.warning_s.map(|w| now + Micros::from_secs(w));
         let mut shown = BTreeSet::new();
         for hand in &r.hands {
@@ -377,6 +476,9 @@
                 continue;
             };
             let before = t.phase;
+            if before != hand.phase {
+                t.told = 0;
+            }
             t.phase = hand.phase;
             t.cause = hand.cause;
             if hand.phase == Phase::Running && t.running_since.is_none() {
@@ -425,8 +527,29 @@
         keys
     }
 
-    /// What the worker should be told now.
-    pub fn orders(&mut self) -> Vec<Order> {
+    /// A direct word surely did not go out: launches that nothing else carried are
+    /// given up at once, so that the tasks can go elsewhere.
+    pub fn unsent(&mut self) -> Vec<Key> {
+        self.direct_out = false;
+        let never = |t: &Try| t.phase == Phase::Launching && t.told == 0 && t.abandoned.is_none();
+        // What an earlier direct word may still carry is not among them.
+        if self.unfenced.is_some() {
+            return Vec::new();
+        }
+        let keys: Vec<Key> = self
+            .tries
+            .iter()
+            .filter(|(_, t)| never(t) && t.sent)
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in &keys {
+            self.tries.remove(key);
+        }
+        keys
+    }
+
+    /// What the worker should be told now; in an answer or directly.
+    pub fn orders(&mut self, in_answer: bool) -> Vec<Order> {
         if self.unsettled {
             return Vec::new();
         }
@@ -436,6 +559,7 @@
         let mut orders = Vec::new();
         for ((task, attempt), t) in &mut self.tries {
             let (hand, attempt) = (task.to_string(), *attempt);
+            let before = orders.len();
             match t.phase {
                 Phase::Launching if t.abandoned.is_none() => {
                     t.sent = true;
@@ -455,19 +579,38 @@
                     }
                 }
             }
+            if in_answer && orders.len() > before && t.phase != Phase::Saving {
+                t.told += 1;
+            }
         }
         // Room is made before it is used.
         orders.sort_by_key(|o| matches!(o, Order::Launch { .. }));
         orders
     }
 
-    /// What attempts take of it, those not yet surely over included.
-    pub fn used(&self) -> Res {
-        let mut sum = Res::default();
+    /// Adds up what attempts take of it, those not yet surely over included.
+    pub fn count_load(&self) -> Load {
+        let mut load = Load {
+            unknown: self.unsettled,
+            ..Load::default()
+        };
         for t in self.tries.values().filter(|t| t.phase != Phase::Exited) {
-            sum += t.request();
+            match t.team {
+                Some(team) => load.take(team, t.request()),
+                None => load.summed += t.request(),
+            }
         }
-        sum
+        load
+    }
+
+    /// Whether something is to be sent to it that can't wait for its next report.
+    pub fn wants_word(&self) -> bool {
+        let urgent = |t: &Try| match t.phase {
+            Phase::Launching => !t.sent && t.abandoned.is_none(),
+            Phase::Exited | Phase::Saving => false,
+            _ => t.halt.is_some() && !t.halt_sent,
+        };
+        self.doubt || self.tries.values().any(urgent)
     }
 }
 
@@ -521,7 +664,7 @@
     }
 
     fn launches(m: &mut Machine) -> usize {
-        m.orders()
+        m.orders(true)
             .iter()
             .filter(|o| matches!(o, Order::Launch { .. }))
             .count()
@@ -537,7 +680,7 @@
                 .is_empty()
         );
         assert_eq!(launches(&mut m), 1);
-        assert_eq!(m.used().cores, 2.0);
+        assert_eq!(m.count_load().summed.cores, 2.0);
     }
 
     #[test]
@@ -554,7 +697,7 @@
         );
         m.tries.get_mut(&key).expect("kept").reap = true;
         assert_eq!(
-            m.orders(),
+            m.orders(true),
             vec![],
             "the late launch would run it again after a reap"
         );
@@ -562,7 +705,7 @@
             Micros(2),
             &report("m", 1, 2, m.token(), &[("j-1/0", 7, "exited", "done")]),
         );
-        assert!(matches!(m.orders()[..], [Order::Reap { .. }]));
+        assert!(matches!(m.orders(true)[..], [Order::Reap { .. }]));
     }
 
     #[test]
@@ -589,7 +732,7 @@
             Micros(1),
             &report("m", 1, 1, Token(0), &[("j-1/0", 7, "running", "")]),
         );
-        assert!(matches!(m.orders()[..], [Order::Halt { .. }]));
+        assert!(matches!(m.orders(true)[..], [Order::Halt { .. }]));
     }
 
     #[test]
@@ -610,9 +753,11 @@
         let mut m = machine();
         m.unsettled = true;
         launch(&mut m, "j-1/0", 7);
-        m.observe(Micros(1), &report("m", 4, 1, Token::of(Term(2), 5), &[]));
-        assert!(m.unsettled && m.orders().is_empty());
-        m.observe(Micros(2), &report("m", 4, 2, Token::of(Term(3), 0), &[]));
+        assert!(!m.shows_term(&report("m", 4, 1, Token::of(Term(2), 5), &[])));
+        assert!(m.orders(true).is_empty());
+        let r = report("m", 4, 2, Token::of(Term(3), 0), &[]);
+        assert!(m.shows_term(&r));
+        m.observe(Micros(2), &r);
         assert!(!m.unsettled);
     }
 
