--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -29,7 +29,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Policy {
-            block_cores: 512.0,
+            block_cores: 9000.0,
             idle_return: Micros::from_millis(45_000),
             silent: Micros::from_millis(10_000),
             rent_horizon: Micros::from_millis(30_000),
