--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -72,7 +72,11 @@
     directs_out: usize,
     /// The order of waiting jobs, as the last pass over the block left it.
     queues: Queues,
+    /// Machines that freed room is held on.
+    held: Vec<MachineId>,
     writing_machines: bool,
+    /// Machines may have been heard that are not recorded as used.
+    to_open: bool,
     /// Something changed that a pass over the block should look at.
     stir: bool,
     next_pass: Micros,
@@ -127,7 +131,9 @@
             errands: BTreeSet::new(),
             directs_out: 0,
             queues: Queues::new(),
+            held: Vec::new(),
             writing_machines: false,
+            to_open: true,
             stir: true,
             next_pass: now,
             last_preempt: now,
@@ -144,32 +150,36 @@
     /// Takes over what the mirror has. What ran before is learnt from reports:
     /// until a machine has reported under our token, it may run anything.
     pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
-        self.sync_machines(now, mirror, types, true);
+        let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
+        for n in shards {
+            self.sync_shard(now, n, mirror, types, true);
+        }
         let ids: Vec<JobId> = mirror.jobs.keys().cloned().collect();
         for id in ids {
             self.sync_job(&id, mirror);
         }
     }
 
-    /// The block's machines changed in the store.
-    pub fn sync_machines(
+    /// A shard of the block's machines changed in the store.
+    pub fn sync_shard(
         &mut self,
         now: Micros,
+        shard: u32,
         mirror: &Mirror,
         types: &[MachineType],
         at_grant: bool,
     ) {
-        let kept = |id: &MachineId| {
-            mirror
-                .machine(id)
-                .is_some_and(|((b, _), r)| b == self.block && r.freed.is_none())
+        let in_block = |id: &MachineId| {
+            let found = mirror.machine(id);
+            found.filter(|((b, _), r)| *b == self.block && r.freed.is_none())
         };
-        let lost: Vec<MachineId> = self
-            .machines
-            .keys()
-            .filter(|id| !kept(id))
-            .cloned()
-            .collect();
+        let of_shard = self.machines.iter().filter(|(_, m)| m.shard == shard);
+        let mut lost: Vec<MachineId> = Vec::new();
+        for (id, _) in of_shard {
+            if in_block(id).is_none() {
+                lost.push(id.clone());
+            }
+        }
         for id in lost {
             // The leader takes a machine out only after the cloud has said that it
             // and all that was on it are gone; or we gave it up, idle.
@@ -182,13 +192,14 @@
                 }
             }
         }
-        let shards = mirror.shards(self.block);
-        let rows =
-            shards.flat_map(|(_, stamp, rec)| rec.0.iter().map(move |(id, r)| (stamp, id, r)));
-        for (stamp, id, r) in rows.filter(|(_, _, r)| r.freed.is_none()) {
+        let Some((stamp, rec)) = mirror.machines.get(&(self.block, shard)) else {
+            return;
+        };
+        for (id, r) in rec.0.iter().filter(|(_, r)| r.freed.is_none()) {
             if let Some(m) = self.machines.get_mut(id) {
+                m.shard = shard;
                 m.used |= r.used;
-                if m.leaving == Leaving::Unsure && stamp > m.left_at {
+                if m.leaving == Leaving::Unsure && *stamp > m.left_at {
                     // The shard has changed since: the late write fails by itself.
                     m.leaving = Leaving::No;
                 }
@@ -198,6 +209,7 @@
             let capacity = build.map_or(Res::default(), MachineType::capacity);
             let term = self.term.max(r.term);
             let mut m = Machine::new(now, term, &r.build, &r.zone, r.spot, capacity, &r.addr);
+            m.shard = shard;
             m.unsettled = at_grant && r.used;
             m.used = r.used;
             m.fetch = build.map_or(1.0, |t| t.fetch_gb_per_s);
@@ -270,7 +282,12 @@
     }
 
     fn count_unsettled(&mut self) {
+        let before = self.rebuilding;
         self.rebuilding = self.machines.values().any(|m| m.unsettled);
+        if before && !self.rebuilding {
+            tracing::info!(block = %self.block, term = %self.term, "all machines of the take-over have reported or are over");
+            self.stir = true;
+        }
     }
 
     /// An attempt is over without a result.
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -124,6 +124,8 @@
             }
             Write::Open(ids) => {
                 self.writing_machines = false;
+                // Those that did not fit into this write, or whose write failed.
+                self.to_open = true;
                 for id in ids.iter().filter(|_| matches!(reply, Reply::Committed(_))) {
                     if let Some(m) = self.machines.get_mut(id) {
                         m.used = true;
@@ -248,13 +250,11 @@
         let new = |m: &Machine| !m.used && m.knocked && m.leaving == Leaving::No;
         // Batched: many come up at once, and the mirror may lag behind our own last
         // write, so that the next one would fail as fast as the store can answer.
-        if self.writing_machines
-            || now.since(self.last_open) < OPEN_GAP
-            || !self.machines.values().any(new)
-        {
+        if self.writing_machines || now.since(self.last_open) < OPEN_GAP || !self.to_open {
             return None;
         }
         self.last_open = now;
+        self.to_open = false;
         let open = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
             let opens = new(m) && !rec.used;
             if opens {
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -46,8 +46,10 @@
         }
         if !m.shows_term(r) {
             m.uncounted(r);
+            self.to_open |= !m.used;
             return Some(false);
         }
+        self.to_open |= !m.used;
         self.take_in(now, r);
         Some(true)
     }
@@ -70,10 +72,6 @@
         if was_unsettled {
             self.count_unsettled();
         }
-        if was_unsettled && !self.rebuilding {
-            tracing::info!(block = %self.block, term = %self.term, after_s = now.since(self.granted).as_secs(), "taken over");
-            self.stir = true;
-        }
     }
 
     /// The answer to a `/do`, or none.
@@ -169,7 +167,7 @@
             return;
         };
         if phase == Phase::Running {
-            m.images.insert(t.image().to_owned());
+            m.images.extend(t.image());
         }
         m.tries.insert(key.clone(), t);
         if phase == Phase::Exited && ours {
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -52,8 +52,10 @@
     }
 
     fn hold(&mut self, placed: &Placed) {
-        for m in self.machines.values_mut() {
-            m.held_for = None;
+        for id in std::mem::take(&mut self.held) {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.held_for = None;
+            }
         }
         let Some((job, ids)) = &placed.held else {
             return;
@@ -63,6 +65,7 @@
                 m.held_for = Some(job.clone());
             }
         }
+        self.held.clone_from(ids);
     }
 
     /// Room got free on a machine that is about to be answered: what comes next
@@ -95,7 +98,7 @@
             job.start(c.index, c.machine.clone());
             job.last_start = day;
             let t = Try::new(Phase::Launching, now, Some((job.team, &job.desc)));
-            m.images.insert(job.desc.image.clone());
+            m.images.insert(job.desc.image_key());
             if let Some(r) = m.reserved.iter_mut().find(|r| r.job == c.job) {
                 r.count = r.count.saturating_sub(1);
             }
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -330,7 +330,7 @@
         for change in log {
             match self.mirror.change(change) {
                 Touched::Job(id) => jobs.push(id),
-                Touched::Machines(b) => machines.push(b),
+                Touched::Machines(b, shard) => machines.push((b, shard)),
                 Touched::Page(id, page) => pages.push((id, page)),
                 Touched::Holder(_) | Touched::Other => others = true,
             }
@@ -353,8 +353,9 @@
             for (id, page) in &pages {
                 h.sync_page(id, *page, &self.mirror);
             }
-            if machines.contains(&h.block) {
-                h.sync_machines(now, &self.mirror, &types, false);
+            let block = h.block;
+            for (_, shard) in machines.iter().filter(|(b, _)| *b == block) {
+                h.sync_shard(now, *shard, &self.mirror, &types, false);
             }
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -107,7 +107,7 @@
         inputs,
         peers,
         view_out,
-        workers: Workers::new(sockets / 3),
+        workers: Workers::new(sockets / 5),
         tickets: BTreeMap::new(),
         questions: BTreeMap::new(),
         next: 0,
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -87,6 +87,8 @@
     returning: BTreeMap<MachineId, Option<Micros>>,
     return_out: Vec<MachineId>,
     returned: BTreeSet<MachineId>,
+    /// Listed before, and missing from so many lists since.
+    missing: BTreeMap<MachineId, u32>,
     /// Listed, but recorded nowhere.
     strange: BTreeSet<MachineId>,
     /// Given up by a holder, for another block.
@@ -111,6 +113,8 @@
 const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
 /// The cloud takes no more in one request.
 const MOST_PER_HIRE: u32 = 50;
+/// So many lists without a machine that was listed before.
+const GONE_AFTER: u32 = 2;
 const MOST_RETURNED: usize = 100;
 
 impl Manager {
@@ -217,6 +221,13 @@
                 add(id, "silent or failing");
             }
         }
+        // Taken by the cloud, most likely. A list may be older than the one before, so
+        // one is not enough; that all on it is gone, only the return's answer says.
+        for (id, lists) in &self.missing {
+            if *lists >= GONE_AFTER && mirror.machine(id).is_some() {
+                add(id, "no longer listed");
+            }
+        }
         for m in self.list.values() {
             let boot = types
                 .iter()
@@ -575,7 +586,15 @@
             (CloudRequest::List, reply) => {
                 self.listing = false;
                 if let CloudReply::List(list) = reply {
-                    self.list = list.into_iter().map(|m| (m.id.clone(), m)).collect();
+                    let list = list.into_iter().map(|m| (m.id.clone(), m)).collect();
+                    let before = std::mem::replace(&mut self.list, list);
+                    let list = &self.list;
+                    let left = before.keys().filter(|id| !list.contains_key(*id));
+                    for id in left {
+                        self.missing.entry(id.clone()).or_default();
+                    }
+                    self.missing.retain(|id, _| !list.contains_key(id));
+                    self.missing.values_mut().for_each(|n| *n += 1);
                     // A list may be older than the one before; what was returned may
                     // show up again for a while and is not to be adopted.
                     if self.returned.len() > 2000 {
@@ -624,6 +643,7 @@
                 for id in ids {
                     if reply == CloudReply::Returned {
                         self.returning.remove(&id);
+                        self.missing.remove(&id);
                         self.list.remove(&id);
                         self.returned.insert(id);
                     } else if let Some(at) = self.returning.get_mut(&id) {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 use ranges::RangeSet;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 pub const MOST_TASKS: u32 = 100_000;
@@ -83,6 +84,11 @@
     pub due_s: Option<f64>,
 }
 
+/// An image's name in short. Two names that share one only make a machine look a
+/// little better than it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ImageKey(u64);
+
 /// Why a submission is refused for good.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Refusal {
@@ -95,6 +101,12 @@
         Res::new(self.cores, self.cards, self.mem)
     }
 
+    pub fn image_key(&self) -> ImageKey {
+        let mut hasher = DefaultHasher::new();
+        self.image.hash(&mut hasher);
+        ImageKey(hasher.finish())
+    }
+
     /// Whether a machine of this type, zone and kind is one the job allows.
     pub fn allows(&self, build: &str, zone: &str, spot: bool) -> bool {
         (self.spot || !spot)
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,7 +14,7 @@
 use crate::clock::Micros;
 use crate::fairness::{Load, Res, Weights};
 use crate::ids::{JobId, MachineId, Term};
-use crate::jobs::{Job, JobDesc};
+use crate::jobs::{ImageKey, Job, JobDesc};
 use crate::settings::Settings;
 use crate::workers::{Leaving, Machine, Phase, Try};
 use std::borrow::Cow;
@@ -101,8 +101,15 @@
     day.since(job.last_start) > PATIENCE
 }
 
+/// A job in a team's queue, with what tells most of the time that it fits nowhere.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queued {
+    id: JobId,
+    request: Res,
+}
+
 /// Waiting jobs of each team; the next one is the last.
-pub type Queues = BTreeMap<usize, Vec<JobId>>;
+pub type Queues = BTreeMap<usize, Vec<Queued>>;
 
 /// Inside a team: those that starve, then rank, then slack, then age.
 pub fn queues(scene: &Scene<'_>) -> Queues {
@@ -117,7 +124,11 @@
             let order = Reverse((j.urgency(scene.day), j.at));
             (starved(j, scene.day), j.desc.rank, order)
         });
-        (t, queue.into_iter().map(|(id, _)| id.clone()).collect())
+        let queued = |(id, j): (&JobId, &Job)| Queued {
+            id: id.clone(),
+            request: j.desc.request(),
+        };
+        (t, queue.into_iter().map(queued).collect())
     };
     queues.into_iter().map(ids).collect()
 }
@@ -128,7 +139,7 @@
     free: Res,
     load: Cow<'a, Load>,
     /// Images that come with what was placed in this pass.
-    images: Vec<&'a str>,
+    images: Vec<ImageKey>,
     held_for: Option<&'a JobId>,
 }
 
@@ -177,6 +188,8 @@
 pub struct Floor<'a> {
     rooms: Vec<Room<'a>>,
     kinds: Vec<Kind<'a>>,
+    /// The most that any machine has free.
+    most: Res,
     /// Room is held only by passes that see the whole block.
     whole: bool,
     /// Machines compared with a class so far: what a pass costs.
@@ -191,6 +204,7 @@
         let mut floor = Floor {
             rooms: rooms.map(|(id, m)| Room::new(id, m)).collect(),
             kinds: Vec::new(),
+            most: Res::default(),
             whole: true,
             looked_at: 0,
         };
@@ -244,6 +258,7 @@
             rooms: vec![0],
         };
         Some(Floor {
+            most: room.free,
             rooms: vec![room],
             kinds: vec![kind],
             whole: false,
@@ -253,7 +268,7 @@
 
     /// The machines where a task fits now, the best one last.
     fn candidates(&mut self, scene: &Scene<'_>, id: &JobId, d: &JobDesc) -> Vec<usize> {
-        let request = d.request();
+        let (request, image) = (d.request(), d.image_key());
         let mut found: Vec<(f64, usize)> = Vec::new();
         for kind in &self.kinds {
             if !request.fits_in(&kind.most) || !d.allows(kind.build, kind.zone, kind.spot) {
@@ -268,7 +283,7 @@
                     && request.fits_in(&r.free_for(id, scene.now))
                     && !r.machine.avoided_by(id, scene.now)
                 {
-                    found.push((worth(r, d), i));
+                    found.push((worth(r, d, image), i));
                 }
             }
         }
@@ -329,7 +344,7 @@
     let mut hopeless: Vec<Shape<'_>> = Vec::new();
     let mut held = None;
     // Of each team: heaviness, and its jobs that are left to look at.
-    let mut left: Vec<(usize, f64, &[JobId])> = queues
+    let mut left: Vec<(usize, f64, &[Queued])> = queues
         .iter()
         .map(|(t, q)| {
             let far = q.len().saturating_sub(reach);
@@ -342,10 +357,15 @@
         let lightest = left.iter_mut().min_by(|a, b| a.1.total_cmp(&b.1));
         let Some((t, _, queue)) = lightest else { break };
         let (t, waiting) = (*t, *queue);
-        let Some((id, rest)) = waiting.split_last() else {
+        let Some((Queued { id, request }, rest)) = waiting.split_last() else {
             left.retain(|(_, _, q)| !q.is_empty());
             continue;
         };
+        // Where nothing is held, what fits into no room at all needs no second look.
+        if !floor.whole && !request.fits_in(&floor.most) {
+            *queue = rest;
+            continue;
+        }
         let next = scene
             .jobs
             .get(id)
@@ -402,7 +422,7 @@
         room.load.to_mut().take(t, request);
         weights.add(&room.load, capacity);
         room.free -= request;
-        room.images.push(&desc.image);
+        room.images.push(desc.image_key());
         let teams: Vec<usize> = room.load.teams.iter().map(|(t, _)| *t).collect();
         choices.push(Choice {
             job: id.clone(),
@@ -440,10 +460,9 @@
 
 /// How good a place is: small tasks go where large ones can't, images are not
 /// fetched without need, and where one must be, sooner rather than later.
-fn worth(r: &Room<'_>, d: &JobDesc) -> f64 {
-    let image = d.image.as_str();
+fn worth(r: &Room<'_>, d: &JobDesc, image: ImageKey) -> f64 {
     let mut worth = d.request().share_of(&r.free);
-    if r.machine.images.contains(image) || r.images.contains(&image) {
+    if r.machine.images.contains(&image) || r.images.contains(&image) {
         worth += 2.0;
     } else {
         worth -= 0.1 * (d.image_gb / r.machine.fetch.max(0.01)).min(10.0);
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Touched {
     Holder(BlockId),
-    Machines(BlockId),
+    Machines(BlockId, u32),
     Job(JobId),
     Page(JobId, u32),
     Other,
@@ -133,7 +133,7 @@
                 if let Some((_, new)) = self.machines.get(&at) {
                     self.home.extend(new.0.keys().map(|id| (id.clone(), at)));
                 }
-                return Touched::Machines(b);
+                return Touched::Machines(b, shard);
             }
             ["r", "jobs", id] => {
                 let id = JobId::from(*id);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -4,7 +4,7 @@
 use crate::clock::Micros;
 use crate::fairness::{Load, Res};
 use crate::ids::{Attempt, JobId, MachineId, Stamp, TaskId, Term, Token};
-use crate::jobs::JobDesc;
+use crate::jobs::{ImageKey, JobDesc};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -152,8 +152,8 @@
         self.desc.as_ref().map_or(Res::default(), |d| d.request())
     }
 
-    pub fn image(&self) -> &str {
-        self.desc.as_ref().map_or("", |d| d.image.as_str())
+    pub fn image(&self) -> Option<ImageKey> {
+        self.desc.as_ref().map(|d| d.image_key())
     }
 }
 
@@ -227,7 +227,7 @@
     /// When a report of it was last answered with a valid token.
     pub last_answer: Micros,
     pub tries: BTreeMap<Key, Try>,
-    pub images: BTreeSet<String>,
+    pub images: BTreeSet<ImageKey>,
     /// The cloud takes it then.
     pub taken_at: Option<Micros>,
     /// A `/do` is out.
@@ -238,6 +238,8 @@
     pub leaving: Leaving,
     /// The stamp of its shard when its record was last to be changed by us.
     pub left_at: Stamp,
+    /// The shard that it is recorded in.
+    pub shard: u32,
     /// Recorded as used: nothing is launched on it before.
     pub used: bool,
     /// No direct command before then.
@@ -295,6 +297,7 @@
             draining: false,
             leaving: Leaving::No,
             left_at: Stamp(0),
+            shard: 0,
             used: false,
             direct_after: Micros::ZERO,
             introductions: 0,
@@ -483,7 +486,7 @@
             t.cause = hand.cause;
             if hand.phase == Phase::Running && t.running_since.is_none() {
                 t.running_since = Some(now);
-                self.images.insert(t.image().to_owned());
+                self.images.extend(t.image());
                 events.push(Event::Started(key.clone()));
             }
             if t.abandoned.is_some() && hand.phase != Phase::Exited && t.halt.is_none() {
