--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -12,7 +12,7 @@
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
 use crate::jobs::{Job, page_tasks};
-use crate::placement::{self, Coming, Need, Queues, Scene};
+use crate::placement::{self, Coming, Need, Picky, Queues, Scene};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::client::Bucket;
@@ -72,6 +72,8 @@
     directs_out: usize,
     /// The order of waiting jobs, as the last pass over the block left it.
     queues: Queues,
+    /// Classes that wait and have little choice of machines.
+    picky: Picky,
     /// Machines that freed room is held on.
     held: Vec<MachineId>,
     writing_machines: bool,
@@ -131,6 +133,7 @@
             errands: BTreeSet::new(),
             directs_out: 0,
             queues: Queues::new(),
+            picky: Picky::default(),
             held: Vec::new(),
             writing_machines: false,
             to_open: true,
@@ -150,6 +153,7 @@
     /// Takes over what the mirror has. What ran before is learnt from reports:
     /// until a machine has reported under our token, it may run anything.
     pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
+        self.know_types(types);
         let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
         for n in shards {
             self.sync_shard(now, n, mirror, types, true);
@@ -160,6 +164,11 @@
         }
     }
 
+    /// The types of machines that there are, for telling which work has a choice.
+    pub fn know_types(&mut self, types: &[MachineType]) {
+        self.picky = Picky::new(types);
+    }
+
     /// A shard of the block's machines changed in the store.
     pub fn sync_shard(
         &mut self,
@@ -243,6 +252,7 @@
         }
         let page = page_tasks(self.settings.platform.state.value_kb);
         let mut job = Job::new(rec, *stamp, team, page);
+        job.starts_within = self.settings.starts_within(&rec.desc.class);
         for (n, stamp, rec) in mirror.progress(id) {
             job.recall(n, stamp, rec);
         }
@@ -324,6 +334,7 @@
             teams: &self.teams,
             weights: &self.weights,
             rebuilding: self.rebuilding.then_some(self.term),
+            picky: &self.picky,
             heard_within: self.heard_within(),
         }
     }
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -28,8 +28,10 @@
             return;
         }
         self.stir = false;
+        let queues = placement::queues(&self.scene(now, day, fleet));
+        let picky = self.picky.waiting(&self.scene(now, day, fleet), &queues);
+        self.picky = picky;
         let scene = self.scene(now, day, fleet);
-        let queues = placement::queues(&scene);
         let mut cost = 0;
         if !queues.is_empty() {
             let floor = Floor::whole(&scene);
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -34,6 +34,11 @@
         Micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// A part of this span.
+    pub fn part(self, of: f64) -> Micros {
+        Micros((self.0 as f64 * of) as u64)
+    }
+
     pub fn duration(self) -> std::time::Duration {
         std::time::Duration::from_micros(self.0)
     }
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -110,6 +110,11 @@
 /// A large machine must be this much cheaper per task to be rented for small
 /// ones, while large ones lack room.
 const SCARCE: f64 = 1.5;
+/// So much dearer does a zone seem that has all machines of a type and kind: as
+/// many times dearer as there are machines, it once made spot machines seem dearer
+/// than ordinary ones in large fleets.
+const SPREAD: f64 = 0.3;
+const LEAST_SPREAD: usize = 30;
 const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
 /// The cloud takes no more in one request.
 const MOST_PER_HIRE: u32 = 50;
@@ -446,6 +451,8 @@
         let mut have: BTreeMap<(&str, &str, bool), usize> = BTreeMap::new();
         for (_, _, m) in mirror.all_machines() {
             *have.entry((&m.build, &m.zone, m.spot)).or_default() += 1;
+            // Under the empty zone: in all of them.
+            *have.entry((&m.build, "", m.spot)).or_default() += 1;
         }
         for (b, n) in news {
             if now.since(n.at) > Micros::from_millis(4_000) {
@@ -561,17 +568,16 @@
                     if !open || asked || !need.fits(&t.name, zone, spot, &t.capacity()) {
                         continue;
                     }
-                    let have = have
-                        .get(&(t.name.as_str(), zone.as_str(), spot))
-                        .copied()
-                        .unwrap_or(0);
+                    let count = |zone| have.get(&(t.name.as_str(), zone, spot)).copied();
+                    let all = count("").unwrap_or(0).max(LEAST_SPREAD);
+                    let part = count(zone.as_str()).unwrap_or(0) as f64 / all as f64;
                     let hourly = if spot { t.spot_price } else { t.price };
                     let scarce = if self.wanted_by_larger(t, types, need) {
                         SCARCE
                     } else {
                         1.0
                     };
-                    let price = hourly / f64::from(per) * scarce * (1.0 + 0.01 * have as f64);
+                    let price = hourly / f64::from(per) * scarce * (1.0 + SPREAD * part);
                     if best.as_ref().is_none_or(|(p, ..)| price < *p) {
                         best = Some((price, t.clone(), zone.clone(), spot));
                     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -266,6 +266,8 @@
     pub failed_on: BTreeSet<MachineId>,
     /// Time of day at which a task of it last started, as far as is known here.
     pub last_start: Micros,
+    /// Within what time its tasks should start, where an objective says so.
+    pub starts_within: Option<Micros>,
 }
 
 impl Job {
@@ -291,6 +293,7 @@
             not_before: Micros::ZERO,
             failed_on: BTreeSet::new(),
             last_start: rec.at,
+            starts_within: None,
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,9 +6,11 @@
 //! looked at, and room that gets free on one machine is refilled alone.
 
 mod needs;
+mod picky;
 mod preempt;
 
 pub use needs::{Coming, Need, needs};
+pub use picky::Picky;
 pub use preempt::{Stop, preempt};
 
 use crate::clock::Micros;
@@ -64,6 +66,8 @@
     /// The term of a take-over that is not complete yet.
     pub rebuilding: Option<Term>,
     pub heard_within: Micros,
+    /// Waiting classes with little choice of machines.
+    pub picky: &'a Picky,
 }
 
 impl Scene<'_> {
@@ -267,11 +271,16 @@
     }
 
     /// The machines where a task fits now, the best one last.
-    fn candidates(&mut self, scene: &Scene<'_>, id: &JobId, d: &JobDesc) -> Vec<usize> {
+    fn candidates(&mut self, scene: &Scene<'_>, id: &JobId, job: &Job) -> Vec<usize> {
+        let d = &*job.desc;
         let (request, image) = (d.request(), d.image_key());
+        let leaves = scene.picky.leaves(job, scene.day);
         let mut found: Vec<(f64, usize)> = Vec::new();
         for kind in &self.kinds {
-            if !request.fits_in(&kind.most) || !d.allows(kind.build, kind.zone, kind.spot) {
+            if !request.fits_in(&kind.most)
+                || !d.allows(kind.build, kind.zone, kind.spot)
+                || leaves.contains(&kind.build)
+            {
                 continue;
             }
             self.looked_at += kind.rooms.len();
@@ -390,7 +399,7 @@
             .or_insert_with(|| zones_of(job, scene.machines));
         let found = candidates
             .entry(id)
-            .or_insert_with(|| floor.candidates(scene, id, desc));
+            .or_insert_with(|| floor.candidates(scene, id, job));
         // Others may have used a candidate since.
         while let Some(&i) = found.last() {
             let r = &floor.rooms[i];
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -36,7 +36,12 @@
 fn pressed(job: &Job, day: Micros) -> bool {
     match job.desc.due_s {
         Some(_) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
-        None => day.since(job.at) >= PATIENCE,
+        None => {
+            day.since(job.at)
+                >= job
+                    .starts_within
+                    .map_or(PATIENCE, |w| PATIENCE.max(w.part(0.5)))
+        }
     }
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -82,10 +82,22 @@
     pub sockets: usize,
 }
 
+/// What is expected of a class; kinds that are not known here are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Platform {
     pub initial_size: usize,
     pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: WorkerTimes,
     pub state: StateLimits,
     pub cloud: CloudLimits,
@@ -233,6 +245,14 @@
         state.txn_ops.min(part.max(4))
     }
 
+    /// Within what time tasks of a class should start, if an objective says so.
+    pub fn starts_within(&self, class: &str) -> Option<Micros> {
+        let of_class = |o: &&Objective| o.kind == "wait" && o.class.as_deref() == Some(class);
+        let waits = self.platform.objectives.iter().filter(of_class);
+        let least = waits.filter_map(|o| o.within_s).reduce(f64::min)?;
+        Some(Micros::from_secs(least))
+    }
+
     pub fn team(&self, name: &str) -> Option<usize> {
         self.platform.teams.iter().position(|t| t.name == name)
     }
