--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -465,12 +465,14 @@
             None => now.since(m.added) > NEVER_HEARD,
         };
         let failed = |m: &Machine| m.draining && m.tries.values().all(|t| t.phase == Phase::Exited);
+        // Should so many be silent at once, the first to go show whether it is them.
+        let most = 2 + self.machines.len() / 10;
+        // And if so many do not hear us, it is we who are not heard.
+        let suspects = self.machines.values().filter(|m| m.suspect()).count() <= most;
         let dead = self
             .machines
             .iter()
-            .filter(|(_, m)| silent(m) || m.suspect() || failed(m));
-        // Should so many be silent at once, the first to go show whether it is them.
-        let most = 2 + self.machines.len() / 10;
+            .filter(|(_, m)| silent(m) || suspects && m.suspect() || failed(m));
         dead.map(|(id, _)| id.clone()).take(most).collect()
     }
 
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -86,6 +86,7 @@
         };
         m.direct_out = false;
         m.doubt = false;
+        m.unreached = 0;
         // Refused for its session: send again under the right one. A higher
         // token than ours means that we are fenced, so not then.
         if r.baton <= m.token() {
@@ -116,7 +117,8 @@
         m.introductions = m.introductions.saturating_sub(1);
         // It can't be reached: what was to start there starts elsewhere, and nothing
         // more is tried there until it reports.
-        m.unreached = true;
+        m.unreached += 1;
+        m.doubt = true;
         let keys = m.unsent();
         self.reweigh(id);
         for key in keys {
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -560,6 +560,11 @@
         });
     }
 
+    /// Machines that were compared with a class of work so far: what passes cost.
+    pub fn looked_at(&self) -> usize {
+        self.held.values().map(|h| h.looked_at).sum()
+    }
+
     fn leading(&self) -> Option<store::Cond> {
         leader::as_leader(
             &self.mirror,
--- /dev/null
+++ b/src/controller/tests/added.rs
@@ -0,0 +1,377 @@
+//! The rules that users added: machines that hear nothing, late copies of reports,
+//! controllers with their workers alone, ends of a fraction of a second, jobs that
+//! stay known, and nobody who starves.
+
+use super::started;
+use super::world::{World, secs};
+use crate::api::desk::Found;
+use crate::controller::core::Answer;
+use crate::ids::Token;
+use crate::jobs::Standing;
+use crate::jobs::tests::desc;
+use crate::store::Reply;
+
+#[test]
+fn a_machine_that_hears_nothing_gets_no_more_work_and_is_replaced() {
+    let mut w = started(1, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let deaf = w.running("j-1/0")[0];
+    w.workers[deaf].deaf = true;
+    // It is fuller, so it would be the better place.
+    w.submit(&desc("j-2", 2));
+    w.pass(15.0);
+    assert_eq!(w.running("j-2/0"), vec![1 - deaf], "work goes elsewhere");
+    assert!(
+        w.returned.contains(&w.workers[deaf].id),
+        "suspect, so returned"
+    );
+    w.pass(3.0);
+    assert_eq!(
+        w.running("j-1/0"),
+        vec![1 - deaf],
+        "and only then once more"
+    );
+}
+
+#[test]
+fn a_machine_that_hears_nothing_and_cant_be_returned_ends_by_its_lease() {
+    let mut w = started(1, 2);
+    w.cloud_down = true;
+    w.submit(&desc("j-1", 4));
+    w.submit(&desc("j-2", 2));
+    w.pass(3.0);
+    let deaf = w.running("j-1/0")[0];
+    w.workers[deaf].deaf = true;
+    w.pass(10.0);
+    assert_eq!(w.running("j-1/0"), vec![deaf], "it may still run there");
+    w.cancel("j-2");
+    w.submit(&desc("j-3", 8));
+    // Its lease ends by itself, and the next report shows it by its session.
+    w.pass(w.cancel_s() - 12.0);
+    assert!(w.running("j-2/0").is_empty(), "cancelled in time");
+    assert_eq!(w.running("j-1/0"), vec![1 - deaf]);
+}
+
+#[test]
+fn late_copies_of_reports_say_nothing() {
+    let mut w = started(2, 2);
+    let blank = w.workers[0].report();
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let at = w.running("j-1/0")[0];
+    let holder = w.holder();
+    let runs = w.workers[at].report();
+    w.pass(2.0);
+    // Seconds late: the tasks that it shows have ended since.
+    w.finish_all();
+    w.pass(5.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    assert_eq!(w.late_copy(holder, &runs), Some(Answer::NotNow));
+    w.pass(5.0);
+    assert_eq!(w.all_running(), 0);
+    // Well over a lease late, from an earlier session: it proves no life.
+    w.submit(&desc("j-2", 4));
+    w.pass(3.0);
+    let with = w.running("j-2/0")[0];
+    w.workers[with].cut = true;
+    w.cloud_down = true;
+    let mut copy = w.workers[with].report();
+    copy.tally = 1;
+    copy.hands.clear();
+    for _ in 0..20 {
+        w.pass(2.0);
+        w.late_copy(holder, &copy);
+        w.late_copy(holder, &blank);
+    }
+    assert_ne!(
+        w.running("j-2/0"),
+        vec![with],
+        "its lease is over all the same"
+    );
+    assert_eq!(w.running("j-2/0").len(), 1);
+}
+
+#[test]
+fn a_late_copy_after_a_take_over_settles_nothing() {
+    let mut w = started(2, 2);
+    w.submit(&desc("j-0", 1));
+    w.pass(3.0);
+    let at = w.running("j-0/0")[0];
+    // Both machines blank but for j-0, as a copy will show them later.
+    let copies = [w.workers[0].report(), w.workers[1].report()];
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    assert_eq!(w.running("j-1/0").len(), 1);
+    let before = w.holder();
+    for worker in &mut w.workers {
+        worker.cut = true;
+    }
+    w.cloud_down = true;
+    w.crash(before);
+    w.pass(22.0);
+    let holder = w.holder();
+    assert_ne!(holder, before);
+    for mut copy in copies {
+        // It is the first that the new holder hears, and newer than nothing.
+        let told = w.late_copy(holder, &copy);
+        assert!(
+            matches!(told, Some(Answer::Orders(o)) if o.orders.is_empty()),
+            "the token at most"
+        );
+        // Not even one that has seen a lower term of the new holder's own.
+        copy.baton = Token(copy.baton.0 + 1);
+        w.late_copy(holder, &copy);
+    }
+    w.workers[1 - at].cut = false;
+    // Had the copy counted, j-1 would be started once more on the other machine.
+    w.pass(5.0);
+    assert!(w.running("j-1/0").len() <= 1);
+}
+
+#[test]
+fn a_copy_from_a_returned_machine_makes_it_no_machine() {
+    let mut w = started(1, 3);
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    let with = w.running("j-1/0")[0];
+    let copy = w.workers[with].report();
+    w.workers[with].cut = true;
+    w.pass(20.0);
+    assert!(w.returned.contains(&w.workers[with].id));
+    assert_eq!(w.late_copy(0, &copy), Some(Answer::NotNow));
+    w.pass(5.0);
+    let recorded = w
+        .store
+        .keys
+        .iter()
+        .filter(|(k, _)| k.contains("/machines/"));
+    let id = w.workers[with].id.to_string();
+    assert!(
+        !recorded
+            .map(|(_, v)| v.1.to_string())
+            .any(|v| v.contains(&id))
+    );
+    assert_eq!(w.running("j-1/0").len(), 1);
+}
+
+#[test]
+fn a_controller_alone_with_its_workers_stops_in_time_and_comes_back() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let cut = w.holder();
+    assert!(w.nodes[cut].view.healthy);
+    w.nodes[cut].no_store = true;
+    w.nodes[cut].no_peers = true;
+    w.pass(10.0);
+    assert!(!w.nodes[cut].view.healthy, "users are to go elsewhere");
+    w.pass(12.0);
+    let r = w.workers[0].report();
+    assert_eq!(
+        w.late_copy(cut, &r),
+        Some(Answer::NotNow),
+        "its lease is over"
+    );
+    let holder = w.holder();
+    assert_ne!(holder, cut);
+    w.pass(6.0);
+    assert!(w.workers.iter().all(|m| m.node == Some(holder)));
+    assert_eq!(w.all_running(), 4, "and nothing was lost");
+    w.nodes[cut].no_store = false;
+    w.nodes[cut].no_peers = false;
+    w.pass(3.0);
+    assert!(w.nodes[cut].view.healthy);
+    w.crash(holder);
+    w.submit(&desc("j-2", 2));
+    w.pass(30.0);
+    assert_eq!(w.running("j-2/0").len(), 1, "it serves again");
+}
+
+#[test]
+fn an_outage_for_all_makes_no_node_unhealthy() {
+    let mut w = started(3, 1);
+    w.store.down = true;
+    w.pass(10.0);
+    assert!(w.nodes.iter().all(|n| n.view.healthy));
+}
+
+#[test]
+fn controllers_back_in_a_fraction_of_a_second_leave_nothing_behind() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let attempts = |w: &World| -> Vec<u64> {
+        let hands = w.workers.iter().flat_map(|m| m.hands.values());
+        hands.map(|h| h.0).collect()
+    };
+    let first = attempts(&w);
+    w.hold_job_txns = true;
+    w.finish_all();
+    w.pass(2.5);
+    w.hold_job_txns = false;
+    // Again and again, in the middle of the elections that follow.
+    for round in 0..6 {
+        for i in 0..3 {
+            if round % 3 != i {
+                w.crash(i);
+                w.start(i);
+            }
+        }
+        w.pass(0.3);
+    }
+    let late = std::mem::take(&mut w.held_txns);
+    assert!(!late.is_empty());
+    for (conds, ops) in late {
+        let reply = w.store.txn(&conds, ops);
+        assert!(matches!(reply, Reply::Conflict(_)), "of a dead incarnation");
+    }
+    w.pass(12.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    w.submit(&desc("j-2", 4));
+    w.pass(4.0);
+    assert_eq!(w.all_running(), 4);
+    assert!(attempts(&w).iter().all(|a| !first.contains(a)));
+    let holders = w.store.keys.keys().filter(|k| k.ends_with("/holder"));
+    assert_eq!(holders.count(), 1);
+    let members = w.store.keys.keys().filter(|k| k.starts_with("r/members/"));
+    assert_eq!(members.count(), 3, "and every controller is in");
+}
+
+#[test]
+fn a_machine_back_in_a_fraction_of_a_second_is_known_and_late_commands_do_no_harm() {
+    let mut w = started(1, 2);
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    let at = w.running("j-1/0")[0];
+    // A launch that gets lost on its way there.
+    w.hold_directs = true;
+    w.submit(&desc("j-2", 1));
+    w.pass(0.2);
+    assert_eq!(w.held_directs.len(), 1);
+    w.hold_directs = false;
+    w.reborn(at);
+    w.pass(8.0);
+    assert_eq!((w.running("j-1/0").len(), w.running("j-2/0").len()), (1, 1));
+    for (to, late) in std::mem::take(&mut w.held_directs) {
+        w.workers[to].direct(&late);
+    }
+    w.check_rules();
+    w.pass(20.0);
+    assert!(w.returned.is_empty(), "its reports count again");
+    let mut big = desc("j-3", 2);
+    big.cores = 12.0;
+    big.team = "blue".into();
+    w.cancel("j-1");
+    w.cancel("j-2");
+    w.submit(&big);
+    w.pass(5.0);
+    assert_eq!(w.all_running(), 1, "a limit of 16 cores");
+}
+
+#[test]
+fn a_repeat_of_a_request_that_was_carried_out_changes_nothing() {
+    let mut w = started(1, 1);
+    w.hold_job_txns = true;
+    w.submit(&desc("j-1", 1));
+    w.pass(2.0);
+    w.finish_all();
+    w.pass(2.0);
+    let held = std::mem::take(&mut w.held_txns);
+    w.hold_job_txns = false;
+    // Carried out late, without an answer; then what was tried since, and repeats.
+    for _ in 0..2 {
+        for (conds, ops) in &held {
+            w.store.txn(conds, ops.clone());
+        }
+    }
+    w.pass(3.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    assert!(w.workers[0].hands.is_empty(), "reaped");
+}
+
+#[test]
+fn after_all_troubles_every_node_answers_for_every_job_within_seconds() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 2));
+    w.pass(3.0);
+    let away = (w.holder() + 1) % 3;
+    w.nodes[away].no_store = true;
+    w.finish_all();
+    w.pass(4.0);
+    for i in 2..20 {
+        w.submit(&desc(&format!("j-{i}"), 1));
+    }
+    w.pass(20.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    // Its mirror stands still: it must not tell of the past, and says so at once.
+    w.ask_for(away, "j-1", 1);
+    assert_eq!(w.found.pop(), Some((away, 1, Found::Unreadable)));
+    w.store.down = true;
+    w.pass(30.0);
+    w.store.down = false;
+    // The log is cut: it must read everything anew.
+    w.nodes[away].no_store = false;
+    w.nodes[away].loaded = false;
+    w.pass(2.0);
+    for node in 0..3 {
+        for i in 1..20 {
+            w.ask_for(node, &format!("j-{i}"), i);
+        }
+    }
+    w.pass(0.5);
+    assert_eq!(w.found.len(), 57);
+    for (_, ticket, found) in &w.found {
+        let done = matches!(found, Found::Ended(rec) if rec.standing == Standing::Done);
+        let live = matches!(found, Found::Live { .. });
+        assert!(if *ticket == 1 { done } else { live }, "{ticket} {found:?}");
+    }
+    w.found.clear();
+    w.ask_for(away, "j-999", 99);
+    w.pass(0.5);
+    assert_eq!(w.found.pop(), Some((away, 99, Found::Nothing)));
+}
+
+#[test]
+fn under_lasting_overload_everyone_begins_within_four_minutes() {
+    let mut w = started(1, 1);
+    w.task_time = Some(secs(10.0));
+    // A whole machine, a low rank, a lost deadline, and a large array of the stream.
+    let mut whole = desc("j-90001", 1);
+    whole.cores = 16.0;
+    let mut low = desc("j-90002", 2);
+    low.rank = crate::jobs::Rank::Idle;
+    low.class = "other".into();
+    let mut lost = desc("j-90003", 2);
+    lost.due_s = Some(1.0);
+    let large = desc("j-90004", 100);
+    let mut blue = desc("j-90005", 2);
+    blue.team = "blue".into();
+    for d in [&whole, &low, &lost, &large, &blue] {
+        w.submit(d);
+    }
+    let mut begun = std::collections::BTreeSet::new();
+    for n in 0..230 {
+        // Twice of what the machine can do, of a higher rank than most.
+        let mut stream = desc(&format!("j-{n}"), 2);
+        stream.rank = crate::jobs::Rank::Production;
+        stream.team = if n % 2 == 0 { "red" } else { "blue" }.into();
+        stream.due_s = Some(1_000.0);
+        w.submit(&stream);
+        w.pass(1.0);
+
+        for id in 90001..=90005 {
+            if w.started_ever(&format!("j-{id}")) {
+                begun.insert(id);
+            }
+        }
+    }
+    assert_eq!(begun.len(), 5, "{begun:?}");
+    let live = w
+        .store
+        .keys
+        .keys()
+        .filter(|k| k.starts_with("r/jobs/"))
+        .count();
+    assert!(live > 50, "it was an overload: {live} wait");
+}
--- /dev/null
+++ b/src/controller/tests/mod.rs
@@ -0,0 +1,366 @@
+//! Whole days in small. Each test names the failure that it guards against.
+
+mod added;
+mod size;
+mod world;
+
+use super::core::{Answer, Input};
+use crate::fleet::MachineType;
+use crate::ids::{Attempt, MachineId};
+use crate::jobs::Standing;
+use crate::jobs::tests::{desc, types};
+use crate::settings::tests::settings;
+use crate::store::{Reply, keys};
+use world::World;
+
+fn started(nodes: usize, machines: usize) -> World {
+    let mut w = World::new(nodes, machines);
+    w.pass(6.0);
+    w
+}
+
+#[test]
+fn a_job_runs_is_recorded_and_only_then_forgotten_by_its_worker() {
+    let mut w = started(2, 1);
+    w.submit(&desc("j-1", 3));
+    w.pass(3.0);
+    assert_eq!(w.all_running(), 3);
+    w.hold_job_txns = true;
+    w.finish_all();
+    w.pass(3.0);
+    assert_eq!(
+        w.workers[0].hands.len(),
+        3,
+        "not reaped before its end is stored"
+    );
+    w.hold_job_txns = false;
+    w.pass(6.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    assert!(w.workers[0].hands.is_empty(), "reaped");
+}
+
+#[test]
+fn a_late_transaction_changes_nothing_and_done_stays_done() {
+    let mut w = started(1, 1);
+    w.submit(&desc("j-1", 2));
+    w.pass(3.0);
+    w.hold_job_txns = true;
+    w.finish_all();
+    w.pass(3.0);
+    w.hold_job_txns = false;
+    w.pass(5.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    for (conds, ops) in std::mem::take(&mut w.held_txns) {
+        assert!(
+            matches!(w.store.txn(&conds, ops), Reply::Conflict(_)),
+            "its stamps have moved on"
+        );
+    }
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
+#[test]
+fn a_take_over_adopts_what_runs_and_starts_nothing_twice() {
+    let mut w = started(2, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    assert_eq!(w.all_running(), 4);
+    let before = w.holder();
+    w.crash(before);
+    w.pass(40.0);
+    assert_ne!(w.holder(), before);
+    for i in 0..4 {
+        assert_eq!(w.running(&format!("j-1/{i}")).len(), 1);
+    }
+    w.finish_all();
+    w.pass(4.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
+#[test]
+fn after_a_take_over_old_jobs_wait_for_silent_machines() {
+    let mut w = started(2, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let with = w.running("j-1/0")[0];
+    w.workers[with].cut = true;
+    w.cloud_down = true;
+    let before = w.holder();
+    w.crash(before);
+    // The old holder's lease is over, but not yet the worker's.
+    w.pass(25.0);
+    assert_ne!(w.holder(), before);
+    w.submit(&desc("j-2", 1));
+    w.pass(3.0);
+    assert_eq!(
+        w.running("j-1/0"),
+        vec![with],
+        "it may still run behind the cut"
+    );
+    assert!(
+        w.running("j-2/0").is_empty(),
+        "the silent machine may use up the whole limit"
+    );
+    w.pass(40.0);
+    assert_eq!(w.running("j-1/0").len(), 1);
+    assert_ne!(
+        w.running("j-1/0"),
+        vec![with],
+        "the worker's lease is surely over"
+    );
+}
+
+#[test]
+fn a_silent_machine_counts_against_the_teams_limit() {
+    let mut w = started(2, 3);
+    // 16 cores are the limit; 8 tasks of 2 cores use it up.
+    w.submit(&desc("j-1", 8));
+    w.pass(3.0);
+    assert_eq!(w.all_running(), 8);
+    for at in w.running("j-1/0") {
+        w.workers[at].cut = true;
+    }
+    w.cloud_down = true;
+    let before = w.holder();
+    w.crash(before);
+    w.pass(25.0);
+    w.submit(&desc("j-2", 8));
+    w.pass(3.0);
+    assert!(
+        w.all_running() <= 8,
+        "{} tasks of 2 cores for 16 cores",
+        w.all_running()
+    );
+}
+
+#[test]
+fn a_delayed_direct_command_is_fenced() {
+    let mut w = started(1, 1);
+    w.hold_directs = true;
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    assert_eq!(w.held_directs.len(), 1, "lost on its way");
+    w.hold_directs = false;
+    w.pass(2.5);
+    assert_eq!(w.running("j-1/0").len(), 1, "launched by an answer instead");
+    w.finish_all();
+    w.pass(6.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    let (at, late) = w.held_directs.remove(0);
+    w.workers[at].direct(&late);
+    assert_eq!(
+        w.all_running(),
+        0,
+        "its token is older than what the worker has seen"
+    );
+}
+
+#[test]
+fn a_cancelled_job_whose_launch_may_still_arrive_never_runs() {
+    let mut w = started(1, 1);
+    w.hold_directs = true;
+    w.workers[0].cut = true;
+    w.submit(&desc("j-1", 1));
+    w.pass(0.4);
+    w.cancel("j-1");
+    w.pass(1.0);
+    w.hold_directs = false;
+    w.workers[0].cut = false;
+    w.pass(5.0);
+    for (at, late) in std::mem::take(&mut w.held_directs) {
+        w.workers[at].direct(&late);
+    }
+    assert_eq!(w.all_running(), 0);
+    w.submit(&desc("j-2", 1));
+    w.pass(4.0);
+    assert_eq!(w.running("j-2/0").len(), 1, "the machine goes on");
+}
+
+#[test]
+fn a_cancellation_during_a_cut_is_over_within_its_time() {
+    let mut w = started(2, 1);
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    let holder = w.holder();
+    // The holder still reaches its worker, but not the store.
+    w.nodes[holder].no_store = true;
+    w.cancel("j-1");
+    let cancel_s = w.nodes[0].settings.platform.workers.cancel_s;
+    w.pass(cancel_s - 1.0);
+    assert_eq!(w.all_running(), 0);
+}
+
+#[test]
+fn outside_its_lease_a_holder_answers_no_worker_and_starts_nothing() {
+    let mut w = started(1, 1);
+    w.store.down = true;
+    w.pass(10.0);
+    let answer = {
+        let r = w.workers[0].report();
+        w.feed(
+            0,
+            Input::CheckIn {
+                report: r,
+                ticket: 1,
+            },
+        )
+    };
+    assert!(
+        matches!(answer, Some(Answer::Orders(_))),
+        "an outage shorter than the lease"
+    );
+    w.pass(15.0);
+    let r = w.workers[0].report();
+    assert_eq!(
+        w.feed(
+            0,
+            Input::CheckIn {
+                report: r,
+                ticket: 1
+            }
+        ),
+        Some(Answer::NotNow)
+    );
+    // The store is back; it goes on under a lease, old or new.
+    w.store.down = false;
+    w.pass(5.0);
+    w.submit(&desc("j-1", 1));
+    w.pass(4.0);
+    assert_eq!(w.all_running(), 1);
+}
+
+#[test]
+fn all_controllers_restart_and_go_on_with_what_runs() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let terms = |w: &World| w.store.keys[keys::TERM].1["last"].as_u64();
+    let before = terms(&w);
+    for i in 0..3 {
+        w.crash(i);
+    }
+    w.pass(2.0);
+    for i in 0..3 {
+        w.start(i);
+    }
+    w.pass(6.0);
+    assert!(terms(&w) > before, "a new term for a new grant");
+    assert_eq!(w.all_running(), 4);
+    w.finish_all();
+    w.pass(4.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
+#[test]
+fn machines_are_answered_by_their_holder_only() {
+    let mut w = started(2, 1);
+    let other = 1 - w.holder();
+    let label = w.nodes[w.holder()].settings.label.clone();
+    let r = w.workers[0].report();
+    assert_eq!(
+        w.feed(
+            other,
+            Input::CheckIn {
+                report: r,
+                ticket: 1
+            }
+        ),
+        Some(Answer::Elsewhere(label))
+    );
+    // A machine that no block has is answered by nobody.
+    let mut r = w.workers[0].report();
+    r.machine = MachineId::from("m-999999");
+    assert_eq!(
+        w.feed(
+            other,
+            Input::CheckIn {
+                report: r,
+                ticket: 1
+            }
+        ),
+        Some(Answer::NotNow)
+    );
+}
+
+#[test]
+fn a_gone_machines_tasks_start_again_once_the_cloud_has_said_so() {
+    let mut w = started(1, 3);
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    let with = w.running("j-1/0")[0];
+    w.workers[with].cut = true;
+    w.pass(6.0);
+    assert_eq!(w.running("j-1/0"), vec![with]);
+    w.pass(10.0);
+    assert!(w.returned.contains(&w.workers[with].id));
+    assert_eq!(w.running("j-1/0").len(), 1);
+    assert_ne!(w.running("j-1/0"), vec![with]);
+}
+
+#[test]
+fn zones_and_limits_hold_for_every_task() {
+    let mut w = started(1, 3);
+    let mut one = desc("j-1", 100);
+    one.one_zone = true;
+    w.submit(&one);
+    let mut apart = desc("j-2", 5);
+    apart.apart = true;
+    apart.team = "blue".into();
+    w.submit(&apart);
+    w.pass(4.0);
+    let of = |w: &World, job: &str| {
+        let mine = |h: &&String| h.starts_with(job);
+        w.workers
+            .iter()
+            .map(|m| m.hands.keys().filter(mine).count())
+            .sum::<usize>()
+    };
+    assert_eq!(of(&w, "j-1/"), 8, "16 cores for tasks of 2");
+    // All machines are in one zone: at most half of five, rounded up.
+    assert_eq!(of(&w, "j-2/"), 3);
+}
+
+#[test]
+fn a_mistaken_job_condemns_no_machine() {
+    let mut w = started(1, 2);
+    w.submit(&desc("j-1", 4));
+    for _ in 0..20 {
+        w.pass(1.0);
+        for h in w
+            .workers
+            .iter_mut()
+            .flat_map(|m| m.hands.values_mut())
+            .filter(|h| h.1 == "running")
+        {
+            *h = (h.0, "exited".into(), Some("error".into()));
+        }
+    }
+    assert!(w.returned.is_empty());
+    w.submit(&desc("j-2", 2));
+    w.pass(4.0);
+    assert_eq!(w.running("j-2/0").len(), 1);
+}
+
+#[test]
+fn attempts_never_repeat_over_a_take_over() {
+    let mut w = started(2, 1);
+    w.submit(&desc("j-1", 1));
+    w.pass(3.0);
+    let first = w.workers[0].hands["j-1/0"].0;
+    w.crash(w.holder());
+    w.pass(25.0);
+    w.finish_all();
+    w.submit(&desc("j-2", 1));
+    w.pass(4.0);
+    let second = w.workers[0].hands["j-2/0"].0;
+    assert!(Attempt(second) > Attempt(first));
+}
+
+#[test]
+fn the_first_machine_type_list_is_shared_through_the_store() {
+    let w = started(2, 1);
+    let stored: Vec<MachineType> =
+        serde_json::from_value(w.store.keys[keys::TYPES].1.clone()).expect("types");
+    assert_eq!(stored, types());
+    assert_eq!(settings().platform.initial_size, 2);
+}
--- /dev/null
+++ b/src/controller/tests/size.rs
@@ -0,0 +1,88 @@
+//! At size: what grows with the fleet and the backlog, and what must not.
+
+use super::world::{World, secs};
+use crate::jobs::Standing;
+use crate::jobs::tests::desc;
+use serde_json::Value;
+
+/// Five controllers, and limits that two thousand machines of 16 cores need.
+fn large(machines: usize) -> World {
+    World::with(5, machines, |v: &mut Value| {
+        for team in v["settings"]["teams"].as_array_mut().expect("teams") {
+            team["cpus"] = 15_000.0.into();
+            team["cpus_max"] = 40_000.0.into();
+        }
+    })
+}
+
+fn recorded(w: &World) -> Vec<(String, bool)> {
+    let shards = w
+        .store
+        .keys
+        .iter()
+        .filter(|(k, _)| k.contains("/machines/"));
+    let mut all = Vec::new();
+    for (_, (_, value, _)) in shards {
+        for (id, rec) in value.as_object().expect("a shard") {
+            all.push((id.clone(), rec["u"] == Value::Bool(true)));
+        }
+    }
+    all
+}
+
+/// The scripted store refuses any transaction or value beyond the settings' limits.
+#[test]
+fn two_thousand_machines_fit_the_store_and_a_crash_between_two_writes_loses_none() {
+    let mut w = large(2_100);
+    // The leader dies while the machines are being recorded, a few shards at a time.
+    while recorded(&w).is_empty() {
+        w.pass(0.1);
+    }
+    assert!(recorded(&w).len() < 2_100, "more than one write");
+    let leader = (0..5).find(|i| {
+        let label = w.nodes[*i].settings.label.as_str();
+        w.store.keys["r/leader"].1["holder"] == label
+    });
+    w.crash(leader.expect("a leader"));
+    w.pass(25.0);
+    let all = recorded(&w);
+    assert_eq!(all.len(), 2_100, "each once");
+    assert!(all.iter().all(|(_, used)| *used));
+    // A job of more tasks than a page of progress holds, all at once.
+    w.submit(&desc("j-1", 16_000));
+    w.pass(20.0);
+    assert_eq!(w.all_running(), 16_000);
+    let changes = w.store.changes;
+    w.finish_all();
+    w.pass(6.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    let spent = w.store.changes - changes;
+    assert!(spent < 200, "{spent} changes for the end of one job");
+}
+
+#[test]
+fn check_ins_cost_nothing_more_where_nothing_waits_or_nothing_fits() {
+    let looked_at = |machines: usize, backlog: u32| {
+        let mut w = World::with(1, machines, |v: &mut Value| {
+            for team in v["settings"]["teams"].as_array_mut().expect("teams") {
+                team["cpus_max"] = 100_000.0.into();
+            }
+        });
+        w.pass(6.0);
+        w.submit(&desc("j-1", 8 * machines as u32));
+        w.pass(4.0);
+        // All room is used, and jobs of one class wait for it.
+        for i in 0..backlog {
+            w.submit(&desc(&format!("j-{}", 100 + i), 4));
+        }
+        w.pass(2.0);
+        let before = w.looked_at();
+        w.pass(4.0);
+        let passes = secs(4.0).0 / 500_000;
+        (w.looked_at() - before) / passes as usize
+    };
+    // A class is compared with the most room of each kind of machine, and what does
+    // not fit there is not compared with machines; the head job looks for one to hold.
+    assert!(looked_at(40, 10) <= 45);
+    assert!(looked_at(40, 100) <= 45, "not with the backlog");
+}
--- a/src/controller/tests.rs
+++ b/src/controller/tests/world.rs
@@ -1,41 +1,41 @@
-//! Whole days in small: cores against a scripted store, cloud and workers,
-//! under a fake clock. Each test names the failure that it guards against.
+//! A scripted store, cloud and workers around the cores, under a fake clock.
 
-use super::core::{Answer, Core, DirectAnswer, Effect, Input, Tag};
+use super::super::core::{Answer, Core, DirectAnswer, Effect, Input, Tag, View};
 use crate::api::desk::Found;
 use crate::clock::Micros;
-use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
-use crate::ids::{Attempt, JobId, Label, MachineId, Stamp, Tenure, Token};
-use crate::jobs::tests::{desc, types};
+use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed};
+use crate::ids::{JobId, Label, MachineId, Stamp, Tenure, Token};
+use crate::jobs::tests::types;
 use crate::jobs::{EndedRec, JobDesc, JobRec, Standing};
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::settings::tests::{example, settings};
+use crate::settings::tests::example;
 use crate::store::{self, Change, Cond, Op, Reply, Request, Row, cond, keys};
 use crate::workers::{Direct, Order, Report};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
-fn secs(s: f64) -> Micros {
+pub fn secs(s: f64) -> Micros {
     Micros::from_secs(s)
 }
 
 /// A state service in memory, as its page describes it.
 #[derive(Default)]
-struct FakeStore {
-    ledger: u64,
-    keys: BTreeMap<String, (u64, Value, Option<u64>)>,
-    leases: BTreeMap<u64, (Micros, Micros)>,
-    log: Vec<Change>,
-    next_lease: u64,
-    down: bool,
+pub struct FakeStore {
+    pub ledger: u64,
+    pub keys: BTreeMap<String, (u64, Value, Option<u64>)>,
+    pub leases: BTreeMap<u64, (Micros, Micros)>,
+    pub log: Vec<Change>,
+    pub next_lease: u64,
+    pub down: bool,
     /// Changes asked for, refused ones included.
-    changes: usize,
+    pub changes: usize,
 }
 
 impl FakeStore {
-    fn expire(&mut self, now: Micros) {
+    pub fn expire(&mut self, now: Micros) {
         let over: Vec<u64> = self
             .leases
             .iter()
@@ -47,7 +47,7 @@
         }
     }
 
-    fn end_lease(&mut self, id: u64) -> Reply {
+    pub fn end_lease(&mut self, id: u64) -> Reply {
         if self.leases.remove(&id).is_none() {
             return Reply::LeaseGone;
         }
@@ -61,7 +61,7 @@
         Reply::Done
     }
 
-    fn commit(&mut self, ops: Vec<Op>) -> Reply {
+    pub fn commit(&mut self, ops: Vec<Op>) -> Reply {
         self.ledger += 1;
         for op in ops {
             match op {
@@ -91,7 +91,7 @@
     }
 
     /// What the settings of these tests allow; a transaction beyond it is malformed.
-    fn check_limits(&mut self, conds: &[Cond], ops: &[Op]) {
+    pub fn check_limits(&mut self, conds: &[Cond], ops: &[Op]) {
         assert!(
             ops.len() <= 16 && conds.len() <= 64,
             "{} {}",
@@ -110,7 +110,7 @@
         self.changes += ops.len();
     }
 
-    fn txn(&mut self, conds: &[Cond], ops: Vec<Op>) -> Reply {
+    pub fn txn(&mut self, conds: &[Cond], ops: Vec<Op>) -> Reply {
         self.check_limits(conds, &ops);
         let stamp = |k: &str| self.keys.get(k).map_or(0, |v| v.0);
         let failed: Vec<String> = conds
@@ -131,7 +131,7 @@
         }
     }
 
-    fn answer(&mut self, now: Micros, request: Request) -> Reply {
+    pub fn answer(&mut self, now: Micros, request: Request) -> Reply {
         if self.down {
             return Reply::Refused;
         }
@@ -163,7 +163,7 @@
         }
     }
 
-    fn rows(&self) -> Vec<Row> {
+    pub fn rows(&self) -> Vec<Row> {
         let below = self.keys.iter().filter(|(k, _)| k.starts_with(store::ROOT));
         below
             .map(|(k, v)| Row {
@@ -176,21 +176,25 @@
 }
 
 /// A worker with instant images whose tasks run until the script ends them.
-struct FakeWorker {
-    id: MachineId,
-    shift: u64,
-    tally: u64,
-    baton: Token,
-    hands: BTreeMap<String, (u64, String, Option<String>)>,
-    node: Option<usize>,
-    cut: bool,
-    last_answer: Micros,
+pub struct FakeWorker {
+    pub id: MachineId,
+    pub shift: u64,
+    pub tally: u64,
+    pub baton: Token,
+    pub hands: BTreeMap<String, (u64, String, Option<String>)>,
+    pub node: Option<usize>,
+    pub cut: bool,
+    /// Its reports arrive, but answers and commands don't reach it.
+    pub deaf: bool,
+    /// When each running task began.
+    pub began: BTreeMap<String, Micros>,
+    pub last_answer: Micros,
     /// When it reports next.
-    due: Micros,
+    pub due: Micros,
 }
 
 impl FakeWorker {
-    fn report(&mut self) -> Report {
+    pub fn report(&mut self) -> Report {
         self.tally += 1;
         let hands: Vec<Value> = self
             .hands
@@ -202,7 +206,7 @@
         .expect("a report")
     }
 
-    fn run(&mut self, orders: &[Order]) {
+    pub fn run(&mut self, orders: &[Order]) {
         for o in orders {
             match o {
                 Order::Launch { hand, attempt } => {
@@ -226,7 +230,7 @@
         }
     }
 
-    fn direct(&mut self, d: &Direct) -> Report {
+    pub fn direct(&mut self, d: &Direct) -> Report {
         if d.baton >= self.baton && d.shift == self.shift {
             self.baton = d.baton;
             self.run(&d.orders);
@@ -235,40 +239,53 @@
     }
 }
 
-struct Node {
-    core: Option<Core>,
-    settings: Rc<Settings>,
-    since: u64,
-    loaded: bool,
+pub struct Node {
+    pub core: Option<Core>,
+    pub settings: Rc<Settings>,
+    pub since: u64,
+    pub loaded: bool,
     /// It does not reach the store.
-    no_store: bool,
+    pub no_store: bool,
+    /// It does not reach the other controllers.
+    pub no_peers: bool,
+    pub view: Arc<View>,
 }
 
-struct World {
-    now: Micros,
-    store: FakeStore,
-    nodes: Vec<Node>,
-    workers: Vec<FakeWorker>,
+pub struct World {
+    pub now: Micros,
+    pub store: FakeStore,
+    pub nodes: Vec<Node>,
+    pub workers: Vec<FakeWorker>,
     /// Machines that the cloud has returned.
-    returned: Vec<MachineId>,
-    cloud_down: bool,
+    pub returned: Vec<MachineId>,
+    pub cloud_down: bool,
     /// Transactions and direct commands held back by a cut, to be let go later.
-    held_txns: Vec<(Vec<Cond>, Vec<Op>)>,
-    hold_job_txns: bool,
-    held_directs: Vec<(usize, Direct)>,
-    hold_directs: bool,
+    pub held_txns: Vec<(Vec<Cond>, Vec<Op>)>,
+    pub hold_job_txns: bool,
+    pub held_directs: Vec<(usize, Direct)>,
+    pub hold_directs: bool,
+    /// How long tasks run; none: until the script ends them.
+    pub task_time: Option<Micros>,
+    pub submitted: BTreeMap<JobId, JobDesc>,
     /// What users were told of jobs: by which node, on which question.
-    found: Vec<(usize, u64, Found)>,
+    pub found: Vec<(usize, u64, Found)>,
 }
 
 impl World {
-    fn new(nodes: usize, machines: usize) -> World {
+    pub fn new(nodes: usize, machines: usize) -> World {
+        World::with(nodes, machines, |_| {})
+    }
+
+    /// With settings changed by `change`.
+    pub fn with(nodes: usize, machines: usize, change: impl Fn(&mut Value)) -> World {
         let mut all = Vec::new();
         for i in 0..nodes {
             let mut v = example();
             v["label"] = format!("c{i}").into();
-            v["seeds"] = json!([]);
+            let seed = |j| json!({"label": format!("c{j}"), "addr": "127.0.0.1:9003"});
+            v["seeds"] = (0..nodes).filter(|j| *j != i).map(seed).collect();
             v["settings"]["initial_size"] = nodes.into();
+            change(&mut v);
             let s: Settings = serde_json::from_value(v).expect("settings");
             all.push(Node {
                 core: None,
@@ -276,6 +293,8 @@
                 since: 0,
                 loaded: false,
                 no_store: false,
+                no_peers: false,
+                view: Arc::default(),
             });
         }
         let workers = (0..machines)
@@ -287,6 +306,8 @@
                 hands: BTreeMap::new(),
                 node: None,
                 cut: false,
+                deaf: false,
+                began: BTreeMap::new(),
                 last_answer: secs(1.0),
                 due: secs(1.0),
             })
@@ -303,6 +324,8 @@
             held_directs: vec![],
             hold_directs: false,
             found: vec![],
+            task_time: None,
+            submitted: BTreeMap::new(),
         };
         for i in 0..nodes {
             w.start(i);
@@ -310,7 +333,7 @@
         w
     }
 
-    fn start(&mut self, i: usize) {
+    pub fn start(&mut self, i: usize) {
         let n = &mut self.nodes[i];
         // Nothing idle is returned here, unless a test wants it.
         let policy = Policy {
@@ -321,11 +344,11 @@
         n.loaded = false;
     }
 
-    fn crash(&mut self, i: usize) {
+    pub fn crash(&mut self, i: usize) {
         self.nodes[i].core = None;
     }
 
-    fn feed(&mut self, i: usize, input: Input) -> Option<Answer> {
+    pub fn feed(&mut self, i: usize, input: Input) -> Option<Answer> {
         let now = self.now;
         let mut inputs = vec![input];
         let mut told = None;
@@ -359,6 +382,9 @@
                     }
                     Effect::News(news) => {
                         for j in (0..self.nodes.len()).filter(|j| *j != i) {
+                            if self.nodes[i].no_peers || self.nodes[j].no_peers {
+                                continue;
+                            }
                             if let Some(peer) = self.nodes[j].core.as_mut() {
                                 // What peers do about it, they do at their next tick.
                                 peer.note(now, news.clone());
@@ -366,14 +392,14 @@
                         }
                     }
                     Effect::Found { ticket, found } => self.found.push((i, ticket, found)),
-                    Effect::View(_) => {}
+                    Effect::View(view) => self.nodes[i].view = view,
                 }
             }
         }
         told
     }
 
-    fn ask(&mut self, i: usize, tag: &Tag, request: Request) -> Reply {
+    pub fn ask(&mut self, i: usize, tag: &Tag, request: Request) -> Reply {
         if self.nodes[i].no_store {
             return Reply::Unknown;
         }
@@ -386,7 +412,7 @@
         self.store.answer(self.now, request)
     }
 
-    fn direct(&mut self, machine: &MachineId, d: Direct) -> DirectAnswer {
+    pub fn direct(&mut self, machine: &MachineId, d: Direct) -> DirectAnswer {
         let Some(at) = self.workers.iter().position(|w| w.id == *machine) else {
             return DirectAnswer::NotSent;
         };
@@ -394,13 +420,14 @@
             self.held_directs.push((at, d));
             return DirectAnswer::Lost;
         }
-        if self.workers[at].cut || self.returned.contains(machine) {
+        let w = &self.workers[at];
+        if w.cut || w.deaf || self.returned.contains(machine) {
             return DirectAnswer::NotSent;
         }
         DirectAnswer::Report(self.workers[at].direct(&d))
     }
 
-    fn cloud(&mut self, request: &CloudRequest) -> CloudReply {
+    pub fn cloud(&mut self, request: &CloudRequest) -> CloudReply {
         if self.cloud_down && *request != CloudRequest::Types {
             return CloudReply::Unknown;
         }
@@ -437,7 +464,7 @@
     }
 
     /// Lets time pass in steps of 100 ms.
-    fn pass(&mut self, s: f64) {
+    pub fn pass(&mut self, s: f64) {
         let until = self.now + secs(s);
         while self.now < until {
             self.now = self.now + Micros::from_millis(100);
@@ -452,26 +479,112 @@
                 self.feed(i, Input::Tick);
             }
             for at in 0..self.workers.len() {
+                self.work(at);
                 if self.now >= self.workers[at].due {
                     self.workers[at].due = self.now + secs(2.0);
                     self.check_in(at);
                 }
             }
+            self.check_rules();
+        }
+    }
+
+    /// What happens on a machine by itself: its lease ends, its tasks end.
+    fn work(&mut self, at: usize) {
+        let over = secs(self.nodes[0].settings.platform.workers.lease_s);
+        let (now, time) = (self.now, self.task_time);
+        let w = &mut self.workers[at];
+        if now.since(w.last_answer) > over {
+            w.shift += 1;
+            w.hands.clear();
+            w.last_answer = now;
+        }
+        let Some(time) = time else { return };
+        w.began
+            .retain(|h, _| w.hands.get(h).is_some_and(|h| h.1 == "running"));
+        for (hand, state) in w.hands.iter_mut().filter(|(_, s)| s.1 == "running") {
+            let began = *w.began.entry(hand.clone()).or_insert(now);
+            if now.since(began) >= time {
+                *state = (state.0, "exited".into(), Some("done".into()));
+                w.due = w.due.min(now + secs(0.3));
+            }
         }
     }
 
-    fn sync(&mut self, i: usize) {
+    /// The rules that hold at every moment: no task runs on two machines, and no team
+    /// uses more than its limit.
+    pub fn check_rules(&self) {
+        let mut at: BTreeMap<&str, &MachineId> = BTreeMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for w in self
+            .workers
+            .iter()
+            .filter(|w| !self.returned.contains(&w.id))
+        {
+            for hand in w
+                .hands
+                .iter()
+                .filter(|(_, h)| h.1 == "running")
+                .map(|h| h.0)
+            {
+                let other = at.insert(hand, &w.id);
+                assert!(other.is_none(), "{hand} runs on {} and {other:?}", w.id);
+                let job = hand.split('/').next().expect("a job").into();
+                if let Some(d) = self.submitted.get(&job) {
+                    *used.entry(&d.team).or_default() += d.cores;
+                }
+            }
+        }
+        for (team, cores) in used {
+            let teams = &self.nodes[0].settings.platform.teams;
+            let team = teams.iter().find(|t| t.name == team).expect("a team");
+            assert!(cores <= team.cpus_max + 1e-6, "{} uses {cores}", team.name);
+        }
+    }
+
+    /// The worker's process begins anew: it has forgotten everything.
+    pub fn reborn(&mut self, at: usize) {
+        let now = self.now;
+        let w = &mut self.workers[at];
+        (w.shift, w.tally, w.baton) = (1, 0, Token(0));
+        (w.last_answer, w.due) = (now, now);
+        w.hands.clear();
+    }
+
+    /// A copy of a report reaches a node late: nobody reads the answer.
+    pub fn late_copy(&mut self, node: usize, report: &Report) -> Option<Answer> {
+        let report = report.clone();
+        self.feed(node, Input::CheckIn { report, ticket: 9 })
+    }
+
+    /// Asks a node how a job stands; `pass` a little to have the answer in `found`.
+    pub fn ask_for(&mut self, node: usize, id: &str, ticket: u64) {
+        let id = id.into();
+        self.feed(node, Input::Ask { id, ticket });
+    }
+
+    pub fn cancel_s(&self) -> f64 {
+        self.nodes[0].settings.platform.workers.cancel_s
+    }
+
+    /// Machines that were compared with a class of work so far, by the first node.
+    pub fn looked_at(&self) -> usize {
+        self.nodes[0].core.as_ref().map_or(0, Core::looked_at)
+    }
+
+    pub fn started_ever(&self, id: &str) -> bool {
+        let begins = |h: &String| h.starts_with(&format!("{id}/"));
+        self.ended(id) == Some(Standing::Done)
+            || self.workers.iter().any(|w| w.hands.keys().any(begins))
+    }
+
+    pub fn sync(&mut self, i: usize) {
         let sent = self.now;
         let ledger = self.store.ledger;
         let input = if self.nodes[i].loaded {
             let since = self.nodes[i].since;
-            let log: Vec<Change> = self
-                .store
-                .log
-                .iter()
-                .filter(|c| c.stamp.0 > since)
-                .cloned()
-                .collect();
+            let new = self.store.log.partition_point(|c| c.stamp.0 <= since);
+            let log: Vec<Change> = self.store.log[new..].to_vec();
             Input::Changes { log, ledger, sent }
         } else {
             self.nodes[i].loaded = true;
@@ -485,17 +598,10 @@
         self.feed(i, input);
     }
 
-    fn check_in(&mut self, at: usize) {
+    pub fn check_in(&mut self, at: usize) {
         if self.returned.contains(&self.workers[at].id) {
             return;
         }
-        let over = secs(self.nodes[0].settings.platform.workers.lease_s);
-        if self.now.since(self.workers[at].last_answer) > over {
-            let w = &mut self.workers[at];
-            w.shift += 1;
-            w.hands.clear();
-            w.last_answer = self.now;
-        }
         if self.workers[at].cut {
             return;
         }
@@ -503,7 +609,19 @@
             .node
             .into_iter()
             .chain(0..self.nodes.len())
+            .filter(|i| self.nodes[*i].core.is_some())
             .collect();
+        if self.workers[at].deaf {
+            // It waits in vain for an answer, and then tries the next node.
+            let next = self.workers[at]
+                .node
+                .map_or(0, |n| (n + 1) % self.nodes.len());
+            self.workers[at].node = Some(next);
+            self.workers[at].due = self.now + secs(if self.nodes.len() > 1 { 5.0 } else { 2.0 });
+            let report = self.workers[at].report();
+            self.feed(next, Input::CheckIn { report, ticket: 1 });
+            return;
+        }
         for i in order {
             let report = self.workers[at].report();
             match self.feed(i, Input::CheckIn { report, ticket: 1 }) {
@@ -526,7 +644,8 @@
         }
     }
 
-    fn submit(&mut self, desc: &JobDesc) {
+    pub fn submit(&mut self, desc: &JobDesc) {
+        self.submitted.insert(desc.id.clone(), desc.clone());
         let holder = self
             .store
             .keys
@@ -548,7 +667,7 @@
         assert!(matches!(reply, Reply::Committed(_)), "{reply:?}");
     }
 
-    fn cancel(&mut self, id: &str) {
+    pub fn cancel(&mut self, id: &str) {
         let id = JobId::from(id);
         let ended = EndedRec {
             standing: Standing::Cancelled,
@@ -560,7 +679,7 @@
         ]);
     }
 
-    fn ended(&self, id: &str) -> Option<Standing> {
+    pub fn ended(&self, id: &str) -> Option<Standing> {
         let rec = self.store.keys.get(&keys::ended(&JobId::from(id)))?;
         serde_json::from_value::<EndedRec>(rec.1.clone())
             .ok()
@@ -568,21 +687,21 @@
     }
 
     /// Where a task's attempts run now.
-    fn running(&self, hand: &str) -> Vec<usize> {
+    pub fn running(&self, hand: &str) -> Vec<usize> {
         let runs = |w: &FakeWorker| w.hands.get(hand).is_some_and(|h| h.1 == "running");
         (0..self.workers.len())
             .filter(|at| runs(&self.workers[*at]))
             .collect()
     }
 
-    fn all_running(&self) -> usize {
+    pub fn all_running(&self) -> usize {
         self.workers
             .iter()
             .map(|w| w.hands.values().filter(|h| h.1 == "running").count())
             .sum()
     }
 
-    fn finish_all(&mut self) {
+    pub fn finish_all(&mut self) {
         for h in self
             .workers
             .iter_mut()
@@ -594,7 +713,7 @@
         }
     }
 
-    fn holder(&self) -> usize {
+    pub fn holder(&self) -> usize {
         let rec = &self.store.keys["r/blocks/0/holder"].1;
         let label: Label = serde_json::from_value(rec["holder"].clone()).expect("a holder");
         self.nodes
@@ -603,355 +722,3 @@
             .expect("a node")
     }
 }
-
-fn started(nodes: usize, machines: usize) -> World {
-    let mut w = World::new(nodes, machines);
-    w.pass(6.0);
-    w
-}
-
-#[test]
-fn a_job_runs_is_recorded_and_only_then_forgotten_by_its_worker() {
-    let mut w = started(2, 1);
-    w.submit(&desc("j-1", 3));
-    w.pass(3.0);
-    assert_eq!(w.all_running(), 3);
-    w.hold_job_txns = true;
-    w.finish_all();
-    w.pass(3.0);
-    assert_eq!(
-        w.workers[0].hands.len(),
-        3,
-        "not reaped before its end is stored"
-    );
-    w.hold_job_txns = false;
-    w.pass(6.0);
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-    assert!(w.workers[0].hands.is_empty(), "reaped");
-}
-
-#[test]
-fn a_late_transaction_changes_nothing_and_done_stays_done() {
-    let mut w = started(1, 1);
-    w.submit(&desc("j-1", 2));
-    w.pass(3.0);
-    w.hold_job_txns = true;
-    w.finish_all();
-    w.pass(3.0);
-    w.hold_job_txns = false;
-    w.pass(5.0);
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-    for (conds, ops) in std::mem::take(&mut w.held_txns) {
-        assert!(
-            matches!(w.store.txn(&conds, ops), Reply::Conflict(_)),
-            "its stamps have moved on"
-        );
-    }
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-}
-
-#[test]
-fn a_take_over_adopts_what_runs_and_starts_nothing_twice() {
-    let mut w = started(2, 2);
-    w.submit(&desc("j-1", 4));
-    w.pass(3.0);
-    assert_eq!(w.all_running(), 4);
-    let before = w.holder();
-    w.crash(before);
-    w.pass(40.0);
-    assert_ne!(w.holder(), before);
-    for i in 0..4 {
-        assert_eq!(w.running(&format!("j-1/{i}")).len(), 1);
-    }
-    w.finish_all();
-    w.pass(4.0);
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-}
-
-#[test]
-fn after_a_take_over_old_jobs_wait_for_silent_machines() {
-    let mut w = started(2, 2);
-    w.submit(&desc("j-1", 4));
-    w.pass(3.0);
-    let with = w.running("j-1/0")[0];
-    w.workers[with].cut = true;
-    w.cloud_down = true;
-    let before = w.holder();
-    w.crash(before);
-    // The old holder's lease is over, but not yet the worker's.
-    w.pass(25.0);
-    assert_ne!(w.holder(), before);
-    w.submit(&desc("j-2", 1));
-    w.pass(3.0);
-    assert_eq!(
-        w.running("j-1/0"),
-        vec![with],
-        "it may still run behind the cut"
-    );
-    assert!(
-        w.running("j-2/0").is_empty(),
-        "the silent machine may use up the whole limit"
-    );
-    w.pass(40.0);
-    assert_eq!(w.running("j-1/0").len(), 1);
-    assert_ne!(
-        w.running("j-1/0"),
-        vec![with],
-        "the worker's lease is surely over"
-    );
-}
-
-#[test]
-fn a_silent_machine_counts_against_the_teams_limit() {
-    let mut w = started(2, 3);
-    // 16 cores are the limit; 8 tasks of 2 cores use it up.
-    w.submit(&desc("j-1", 8));
-    w.pass(3.0);
-    assert_eq!(w.all_running(), 8);
-    for at in w.running("j-1/0") {
-        w.workers[at].cut = true;
-    }
-    w.cloud_down = true;
-    let before = w.holder();
-    w.crash(before);
-    w.pass(25.0);
-    w.submit(&desc("j-2", 8));
-    w.pass(3.0);
-    assert!(
-        w.all_running() <= 8,
-        "{} tasks of 2 cores for 16 cores",
-        w.all_running()
-    );
-}
-
-#[test]
-fn a_delayed_direct_command_is_fenced() {
-    let mut w = started(1, 1);
-    w.hold_directs = true;
-    w.submit(&desc("j-1", 1));
-    w.pass(3.0);
-    assert_eq!(w.held_directs.len(), 1, "lost on its way");
-    w.hold_directs = false;
-    w.pass(2.5);
-    assert_eq!(w.running("j-1/0").len(), 1, "launched by an answer instead");
-    w.finish_all();
-    w.pass(6.0);
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-    let (at, late) = w.held_directs.remove(0);
-    w.workers[at].direct(&late);
-    assert_eq!(
-        w.all_running(),
-        0,
-        "its token is older than what the worker has seen"
-    );
-}
-
-#[test]
-fn a_cancelled_job_whose_launch_may_still_arrive_never_runs() {
-    let mut w = started(1, 1);
-    w.hold_directs = true;
-    w.workers[0].cut = true;
-    w.submit(&desc("j-1", 1));
-    w.pass(0.4);
-    w.cancel("j-1");
-    w.pass(1.0);
-    w.hold_directs = false;
-    w.workers[0].cut = false;
-    w.pass(5.0);
-    for (at, late) in std::mem::take(&mut w.held_directs) {
-        w.workers[at].direct(&late);
-    }
-    assert_eq!(w.all_running(), 0);
-    w.submit(&desc("j-2", 1));
-    w.pass(4.0);
-    assert_eq!(w.running("j-2/0").len(), 1, "the machine goes on");
-}
-
-#[test]
-fn a_cancellation_during_a_cut_is_over_within_its_time() {
-    let mut w = started(2, 1);
-    w.submit(&desc("j-1", 1));
-    w.pass(3.0);
-    let holder = w.holder();
-    // The holder still reaches its worker, but not the store.
-    w.nodes[holder].no_store = true;
-    w.cancel("j-1");
-    let cancel_s = w.nodes[0].settings.platform.workers.cancel_s;
-    w.pass(cancel_s - 1.0);
-    assert_eq!(w.all_running(), 0);
-}
-
-#[test]
-fn outside_its_lease_a_holder_answers_no_worker_and_starts_nothing() {
-    let mut w = started(1, 1);
-    w.store.down = true;
-    w.pass(10.0);
-    let answer = {
-        let r = w.workers[0].report();
-        w.feed(
-            0,
-            Input::CheckIn {
-                report: r,
-                ticket: 1,
-            },
-        )
-    };
-    assert!(
-        matches!(answer, Some(Answer::Orders(_))),
-        "an outage shorter than the lease"
-    );
-    w.pass(15.0);
-    let r = w.workers[0].report();
-    assert_eq!(
-        w.feed(
-            0,
-            Input::CheckIn {
-                report: r,
-                ticket: 1
-            }
-        ),
-        Some(Answer::NotNow)
-    );
-    // The store is back; it goes on under a lease, old or new.
-    w.store.down = false;
-    w.pass(5.0);
-    w.submit(&desc("j-1", 1));
-    w.pass(4.0);
-    assert_eq!(w.all_running(), 1);
-}
-
-#[test]
-fn all_controllers_restart_and_go_on_with_what_runs() {
-    let mut w = started(3, 2);
-    w.submit(&desc("j-1", 4));
-    w.pass(3.0);
-    let terms = |w: &World| w.store.keys[keys::TERM].1["last"].as_u64();
-    let before = terms(&w);
-    for i in 0..3 {
-        w.crash(i);
-    }
-    w.pass(2.0);
-    for i in 0..3 {
-        w.start(i);
-    }
-    w.pass(6.0);
-    assert!(terms(&w) > before, "a new term for a new grant");
-    assert_eq!(w.all_running(), 4);
-    w.finish_all();
-    w.pass(4.0);
-    assert_eq!(w.ended("j-1"), Some(Standing::Done));
-}
-
-#[test]
-fn machines_are_answered_by_their_holder_only() {
-    let mut w = started(2, 1);
-    let other = 1 - w.holder();
-    let label = w.nodes[w.holder()].settings.label.clone();
-    let r = w.workers[0].report();
-    assert_eq!(
-        w.feed(
-            other,
-            Input::CheckIn {
-                report: r,
-                ticket: 1
-            }
-        ),
-        Some(Answer::Elsewhere(label))
-    );
-    // A machine that no block has is answered by nobody.
-    let mut r = w.workers[0].report();
-    r.machine = MachineId::from("m-999999");
-    assert_eq!(
-        w.feed(
-            other,
-            Input::CheckIn {
-                report: r,
-                ticket: 1
-            }
-        ),
-        Some(Answer::NotNow)
-    );
-}
-
-#[test]
-fn a_gone_machines_tasks_start_again_once_the_cloud_has_said_so() {
-    let mut w = started(1, 3);
-    w.submit(&desc("j-1", 1));
-    w.pass(3.0);
-    let with = w.running("j-1/0")[0];
-    w.workers[with].cut = true;
-    w.pass(8.0);
-    assert_eq!(w.running("j-1/0"), vec![with]);
-    w.pass(8.0);
-    assert!(w.returned.contains(&w.workers[with].id));
-    assert_eq!(w.running("j-1/0").len(), 1);
-    assert_ne!(w.running("j-1/0"), vec![with]);
-}
-
-#[test]
-fn zones_and_limits_hold_for_every_task() {
-    let mut w = started(1, 3);
-    let mut one = desc("j-1", 100);
-    one.one_zone = true;
-    w.submit(&one);
-    let mut apart = desc("j-2", 5);
-    apart.apart = true;
-    apart.team = "blue".into();
-    w.submit(&apart);
-    w.pass(4.0);
-    let of = |w: &World, job: &str| {
-        let mine = |h: &&String| h.starts_with(job);
-        w.workers
-            .iter()
-            .map(|m| m.hands.keys().filter(mine).count())
-            .sum::<usize>()
-    };
-    assert_eq!(of(&w, "j-1/"), 8, "16 cores for tasks of 2");
-    // All machines are in one zone: at most half of five, rounded up.
-    assert_eq!(of(&w, "j-2/"), 3);
-}
-
-#[test]
-fn a_mistaken_job_condemns_no_machine() {
-    let mut w = started(1, 2);
-    w.submit(&desc("j-1", 4));
-    for _ in 0..20 {
-        w.pass(1.0);
-        for h in w
-            .workers
-            .iter_mut()
-            .flat_map(|m| m.hands.values_mut())
-            .filter(|h| h.1 == "running")
-        {
-            *h = (h.0, "exited".into(), Some("error".into()));
-        }
-    }
-    assert!(w.returned.is_empty());
-    w.submit(&desc("j-2", 2));
-    w.pass(4.0);
-    assert_eq!(w.running("j-2/0").len(), 1);
-}
-
-#[test]
-fn attempts_never_repeat_over_a_take_over() {
-    let mut w = started(2, 1);
-    w.submit(&desc("j-1", 1));
-    w.pass(3.0);
-    let first = w.workers[0].hands["j-1/0"].0;
-    w.crash(w.holder());
-    w.pass(25.0);
-    w.finish_all();
-    w.submit(&desc("j-2", 1));
-    w.pass(4.0);
-    let second = w.workers[0].hands["j-2/0"].0;
-    assert!(Attempt(second) > Attempt(first));
-}
-
-#[test]
-fn the_first_machine_type_list_is_shared_through_the_store() {
-    let w = started(2, 1);
-    let stored: Vec<MachineType> =
-        serde_json::from_value(w.store.keys[keys::TYPES].1.clone()).expect("types");
-    assert_eq!(stored, types());
-    assert_eq!(settings().platform.initial_size, 2);
-}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -84,7 +84,7 @@
         && m.leaving == Leaving::No
         && !m.unsettled
         && m.taken_at.is_none()
-        && !m.unreached
+        && m.unreached == 0
         && m.last_heard.is_some_and(|h| now.since(h) < heard_within)
         && !m.suspect()
 }
@@ -97,12 +97,15 @@
     !old && !job.ended && !job.waiting.is_empty() && now >= job.not_before
 }
 
-/// A job none of whose tasks started for this long goes to the head of its team,
-/// whatever its rank and even if its deadline is lost, and holds room.
-const PATIENCE: Micros = Micros::from_millis(75_000);
+/// A job that has waited so long to begin goes to the head of its team, whatever its
+/// rank and even if its deadline is lost, and holds room.
+const BEGIN: Micros = Micros::from_millis(120_000);
+/// The same for one that began, and none of whose tasks started since.
+const GO_ON: Micros = Micros::from_millis(200_000);
 
 pub fn starved(job: &Job, day: Micros) -> bool {
-    day.since(job.last_start) > PATIENCE
+    let begun = job.last_start > job.at || !job.done.is_empty() || !job.active.is_empty();
+    day.since(job.last_start) > if begun { GO_ON } else { BEGIN }
 }
 
 /// A job in a team's queue, with what tells most of the time that it fits nowhere.
@@ -125,8 +128,8 @@
     }
     let ids = |(t, mut queue): (usize, Vec<(&JobId, &Job)>)| {
         queue.sort_by_cached_key(|(_, j)| {
-            let order = Reverse((j.urgency(scene.day), j.at));
-            (starved(j, scene.day), j.desc.rank, order)
+            let starved = starved(j, scene.day).then_some(Reverse(j.last_start));
+            (starved, j.desc.rank, Reverse((j.urgency(scene.day), j.at)))
         });
         let queued = |(id, j): (&JobId, &Job)| Queued {
             id: id.clone(),
@@ -388,9 +391,13 @@
         let request = desc.request();
         let mut after = weights.of(t).used;
         after += request;
-        if !after.fits_in(&scene.settings.platform.teams[t].limit())
-            || hopeless.contains(&shape(desc))
-        {
+        if !after.fits_in(&scene.settings.platform.teams[t].limit()) {
+            // One that starves needs the room below the limit that others of its team
+            // would take again and again.
+            *queue = if starved(job, scene.day) { &[] } else { rest };
+            continue;
+        }
+        if hopeless.contains(&shape(desc)) {
             *queue = rest;
             continue;
         }
@@ -411,7 +418,12 @@
             found.pop();
         }
         let Some(&i) = found.last() else {
-            // A job that avoids machines says nothing about its like.
+            // A job that avoids machines, or leaves them to others for now, says
+            // nothing about its like, and holds nothing.
+            if !scene.picky.leaves(job, scene.day).is_empty() {
+                *queue = rest;
+                continue;
+            }
             if job.failed_on.is_empty() {
                 hopeless.push(shape(desc));
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -222,8 +222,9 @@
     /// A report came that looks older than what is known: a late copy, or a worker
     /// that began anew. Its own answer to a direct word will tell.
     pub doubt: bool,
-    /// A direct word could not be sent since it last reported.
-    pub unreached: bool,
+    /// Direct words in a row that could not be sent. Its reports do not make up for
+    /// them: they may arrive while nothing of ours does.
+    pub unreached: u32,
     /// When a report of it was last answered with a valid token.
     pub last_answer: Micros,
     pub tries: BTreeMap<Key, Try>,
@@ -287,7 +288,7 @@
             seen: Token(0),
             unheard: 0,
             doubt: false,
-            unreached: false,
+            unreached: 0,
             last_answer: now,
             tries: BTreeMap::new(),
             images: BTreeSet::new(),
@@ -428,7 +429,9 @@
     /// Reports arrive, but what they show says that our answers do not: nothing more
     /// is started there, and what is open stays open.
     pub fn suspect(&self) -> bool {
-        self.unheard >= UNHEEDED || self.tries.values().any(|t| t.told >= UNHEEDED)
+        self.unheard >= UNHEEDED
+            || self.unreached >= UNHEEDED
+            || self.tries.values().any(|t| t.told >= UNHEEDED)
     }
 
     /// An answer with these orders is on its way.
@@ -444,8 +447,7 @@
         let mut events = Vec::new();
         self.last_heard = Some(now);
         self.knocked = true;
-        self.doubt = false;
-        self.unreached = false;
+        self.doubt = self.unreached > 0;
         self.seen = self.seen.max(r.baton);
         if r.baton >= self.token() {
             self.unheard = 0;
