--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -15,6 +15,7 @@
 /// After a write that was refused or had no answer; the watch tells the stamps.
 const AGAIN: Micros = Micros::from_millis(400);
 const OPEN_GAP: Micros = Micros::from_millis(700);
+const LEAST_CHARGED: Micros = Micros::from_millis(60_000);
 const GIVE_UP_GAP: Micros = Micros::from_millis(500);
 /// Less than the 64 KiB that a transaction may have.
 const TXN_BYTES: usize = 40 * 1024;
@@ -278,7 +279,7 @@
             return None;
         }
         let mut lacking: Vec<(Need, u32)> = others.iter().map(|n| (n.clone(), n.count)).collect();
-        let (heard, idle_return) = (self.heard_within(), self.policy.idle_return);
+        let (heard, policy) = (self.heard_within(), self.policy.clone());
         let go = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
             if m.leaving == Leaving::Unsure {
                 // Tried before without an answer: again, since it may be done.
@@ -290,7 +291,13 @@
             }
             let idle = now.since(m.idle_since);
             let fits = |n: &Need| n.fits(&m.build, &m.zone, m.spot, &m.capacity);
-            if idle >= idle_return {
+            let idle_return = if m.spot {
+                policy.idle_return
+            } else {
+                policy.idle_return_ordinary
+            };
+            // Less than a minute is charged as a minute.
+            if idle >= idle_return && now.since(m.added) >= LEAST_CHARGED {
                 rec.freed = Some(Freed::Return);
             } else if idle >= Micros::from_millis(1_000) && !own.iter().any(fits) {
                 let Some(l) = lacking.iter_mut().find(|(n, left)| *left > 0 && fits(n)) else {
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -338,6 +338,7 @@
         // Nothing idle is returned here, unless a test wants it.
         let policy = Policy {
             idle_return: secs(10_000.0),
+            idle_return_ordinary: secs(10_000.0),
             ..Policy::default()
         };
         n.core = Some(Core::new(n.settings.clone(), Rc::new(policy), self.now));
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -477,7 +477,7 @@
                 let Some((t, zone, spot)) = self.cheapest(now, &have, types, need) else {
                     continue;
                 };
-                if !spot && !need.waited_long {
+                if !spot {
                     // Ordinary machines cost several times as much: work that is soon
                     // over by itself is worth fewer of them.
                     let part = |h: f64| (need.estimate_s / h).min(1.0);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -488,12 +488,18 @@
     } else {
         worth -= 0.1 * (d.image_gb / r.machine.fetch.max(0.01)).min(10.0);
     }
+    if r.machine.spot {
+        worth += SPOT_FIRST;
+    }
     if r.machine.reserved.iter().any(|x| x.job == d.id) {
         worth += 4.0;
     }
     worth
 }
 
+/// Spot machines are filled first, so that the dear ones get idle and are returned.
+const SPOT_FIRST: f64 = 0.4;
+
 fn missing(r: &Room<'_>, request: &Res) -> f64 {
     let lacking = *request - r.free;
     lacking.most(Res::default()).share_of(&r.machine.capacity)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,8 +9,10 @@
     /// Guaranteed cores per block: the fleet has a block for each of these, and at
     /// most one per controller.
     pub block_cores: f64,
-    /// How long a machine may be idle before it is returned.
+    /// How long a spot machine may be idle before it is returned.
     pub idle_return: Micros,
+    /// The same for an ordinary one, which costs several times as much.
+    pub idle_return_ordinary: Micros,
     /// How long a machine stays silent before it is returned.
     pub silent: Micros,
     /// Work that would be over within this time by itself rents nothing.
@@ -30,7 +32,8 @@
     fn default() -> Self {
         Policy {
             block_cores: 9000.0,
-            idle_return: Micros::from_millis(45_000),
+            idle_return: Micros::from_millis(55_000),
+            idle_return_ordinary: Micros::from_millis(20_000),
             silent: Micros::from_millis(10_000),
             rent_horizon: Micros::from_millis(30_000),
         }
