--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -160,10 +160,9 @@
             };
             // Once to learn the session, once under it; more would only pile up
             // behind a cut, and the machine's own next report does as well.
-            let introduce =
-                m.unsettled && (m.introductions == 0 || m.introductions == 1 && m.session() > 0);
+            let introduce = m.unsettled && m.introductions <= 1;
             let reachable = m.quiet() && m.last_heard.is_some_and(|h| now.since(h) < heard_within);
-            let word = m.wants_word() && (reachable && m.session() > 0 || m.doubt);
+            let word = m.wants_word() && (reachable && m.shift > 0 || m.doubt);
             if !introduce && !word || m.addr.is_empty() {
                 if !m.direct_out {
                     done.push(id.clone());
@@ -174,7 +173,7 @@
                 continue;
             }
             m.introductions += u32::from(introduce);
-            m.direct_out = true;
+            m.word_sent();
             m.direct_after = now + DIRECT_GAP;
             // A direct word goes out under the token that was shown; orders only
             // to those whose picture counts.
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -264,6 +264,8 @@
     pub hold_job_txns: bool,
     pub held_directs: Vec<(usize, Direct)>,
     pub hold_directs: bool,
+    /// Those that were carried out: a copy of any may come again.
+    pub done_directs: Vec<(usize, Direct)>,
     /// How long tasks run; none: until the script ends them.
     pub task_time: Option<Micros>,
     pub submitted: BTreeMap<JobId, JobDesc>,
@@ -323,6 +325,7 @@
             hold_job_txns: false,
             held_directs: vec![],
             hold_directs: false,
+            done_directs: vec![],
             found: vec![],
             task_time: None,
             submitted: BTreeMap::new(),
@@ -425,6 +428,7 @@
         if w.cut || w.deaf || self.returned.contains(machine) {
             return DirectAnswer::NotSent;
         }
+        self.done_directs.push((at, d.clone()));
         DirectAnswer::Report(self.workers[at].direct(&d))
     }
 
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -3,7 +3,7 @@
 use super::Scene;
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::jobs::Job;
+use crate::jobs::{Job, JobDesc};
 use crate::workers::Leaving;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -47,6 +47,40 @@
 /// Work that has waited this long rents at once.
 const LONG: Micros = Micros::from_millis(10_000);
 
+/// Takes from machines on their way what serves a job; returns for how many tasks.
+fn serve(rooms: &mut [Coming<'_>], d: &JobDesc, tasks: u32) -> u32 {
+    let request = d.request();
+    let mut served = 0;
+    for (capacity, build, zone, spot, machines) in rooms {
+        let per = request.times_in(capacity);
+        if served < tasks && *machines > 0 && per > 0 && d.allows(build, zone, *spot) {
+            let used = (tasks - served).div_ceil(per).min(*machines);
+            served += (used * per).min(tasks - served);
+            *machines -= used;
+        }
+    }
+    served
+}
+
+fn add(needs: &mut Vec<Need>, d: &JobDesc, count: u32, waited_long: bool) {
+    if count == 0 {
+        return;
+    }
+    let need = Need {
+        request: d.request(),
+        builds: d.builds.clone(),
+        zone: d.zone.clone(),
+        spot: d.spot,
+        count,
+        estimate_s: d.estimate_s,
+        waited_long,
+    };
+    match needs.iter_mut().find(|n| n.like(&need)) {
+        Some(n) => n.count += need.count,
+        None => needs.push(need),
+    }
+}
+
 /// The room that the block's waiting work still lacks, after what is booting.
 pub fn needs(scene: &Scene<'_>, coming: &[Coming<'_>], horizon: Micros) -> Vec<Need> {
     let mut left: BTreeMap<usize, Res> = BTreeMap::new();
@@ -93,33 +127,8 @@
         if let Some(l) = left.get_mut(&job.team) {
             *l -= request.scale(f64::from(wanted));
         }
-        for (capacity, build, zone, spot, machines) in &mut rooms {
-            if wanted == 0 {
-                break;
-            }
-            if *machines > 0 && d.allows(build, zone, *spot) {
-                let per = request.times_in(capacity);
-                let used = wanted.div_ceil(per.max(1)).min(*machines);
-                wanted -= (used * per).min(wanted);
-                *machines -= if per > 0 { used } else { 0 };
-            }
-        }
-        if wanted == 0 {
-            continue;
-        }
-        let need = Need {
-            request,
-            builds: d.builds.clone(),
-            zone: d.zone.clone(),
-            spot: d.spot,
-            count: wanted,
-            estimate_s: d.estimate_s,
-            waited_long,
-        };
-        match needs.iter_mut().find(|n| n.like(&need)) {
-            Some(n) => n.count += need.count,
-            None => needs.push(need),
-        }
+        wanted -= serve(&mut rooms, d, wanted);
+        add(&mut needs, d, wanted, waited_long);
     }
     needs
 }
--- a/src/placement/picky.rs
+++ b/src/placement/picky.rs
@@ -76,10 +76,20 @@
 
     /// The types of machines that a job leaves to others for now.
     pub fn leaves(&self, job: &Job, day: Micros) -> Vec<&str> {
-        if self.waiting.is_empty() || !can_wait(job, day) {
+        if can_wait(job, day) {
+            self.wanted(&job.desc)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// The types of machines that a job fits and that waiting work wants which does
+    /// not fit everywhere that the job does.
+    fn wanted(&self, d: &JobDesc) -> Vec<&str> {
+        if self.waiting.is_empty() {
             return Vec::new();
         }
-        let own = self.fitting(&job.desc);
+        let own = self.fitting(d);
         // To those that fit there and not everywhere that this job does.
         let pickier = |c: &&Vec<bool>| c.iter().zip(&own).any(|(c, own)| *own && !c);
         let mut leaves = Vec::new();
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -233,6 +233,8 @@
     pub taken_at: Option<Micros>,
     /// A `/do` is out.
     pub direct_out: bool,
+    /// What was known when the last one was sent.
+    word_sent_at: (u64, u64),
     /// A `/do` had no answer and may still arrive; over once a report has this token.
     unfenced: Option<Token>,
     pub draining: bool,
@@ -294,6 +296,7 @@
             images: BTreeSet::new(),
             taken_at: None,
             direct_out: false,
+            word_sent_at: (0, 0),
             unfenced: None,
             draining: false,
             leaving: Leaving::No,
@@ -318,11 +321,8 @@
     /// The session that a direct word is meant for; a wrong one is refused, with a
     /// fresh report.
     pub fn session(&self) -> u64 {
-        if self.shift > 0 {
-            self.shift
-        } else {
-            self.heard_shift
-        }
+        // Most machines are still in their first.
+        self.shift.max(self.heard_shift).max(1)
     }
 
     /// Fences everything that we sent before, delayed `/do` commands included,
@@ -421,9 +421,16 @@
         self.unfenced = Some(token);
     }
 
-    /// Its token never came down before: a direct answer like this is a new worker's.
+    /// A direct word is about to go out.
+    pub fn word_sent(&mut self) {
+        self.direct_out = true;
+        self.word_sent_at = (self.shift, self.tally);
+    }
+
+    /// An answer to our direct word was made after we sent it, so it is newer than
+    /// all that we knew then, or of a worker that has begun anew.
     pub fn is_reborn(&self, r: &Report) -> bool {
-        !self.newer(r) && r.baton < self.seen
+        self.shift > 0 && (r.shift, r.tally) <= self.word_sent_at
     }
 
     /// Reports arrive, but what they show says that our answers do not: nothing more
@@ -766,6 +773,27 @@
         assert!(!m.unsettled);
     }
 
+    #[test]
+    fn a_machine_that_never_heeds_an_answer_is_suspect_until_it_does() {
+        let mut m = machine();
+        let mut old = report("m", 1, 1, Token(0), &[]);
+        for n in 1..=UNHEEDED {
+            assert!(!m.suspect());
+            old.tally = u64::from(n);
+            m.answered(Micros(u64::from(n)), &old);
+        }
+        assert!(m.suspect(), "it never showed the token");
+        m.observe(Micros(9), &report("m", 1, 9, m.token(), &[]));
+        assert!(!m.suspect());
+        launch(&mut m, "j-1/0", 7);
+        for n in 10..=12 {
+            m.observe(Micros(n), &report("m", 1, n, m.token(), &[]));
+            assert!(!m.suspect());
+            m.orders(true);
+        }
+        assert!(m.suspect(), "nor carried out an order");
+    }
+
     #[test]
     fn odd_reports_are_refused_or_change_nothing() {
         assert!(serde_json::from_str::<Report>(r#"{"rig":"m"}"#).is_err());
