Work that is to start at once may stop more, but only what has much slack

Cause: gauge-alerts should start within 3 s and waited behind meter-reconcile, which saves its progress and mostly has a minute of slack. Classes without such an objective are as before.

--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -34,26 +34,41 @@
 /// Whether stopping others still helps a job, and waiting longer would not do:
 /// its deadline is near but not lost, or it has none and has waited for long.
 fn pressed(job: &Job, day: Micros) -> bool {
-    match job.desc.due_s {
-        Some(_) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
-        None => {
-            day.since(job.at)
-                >= job
-                    .starts_within
-                    .map_or(PATIENCE, |w| PATIENCE.max(w.part(0.5)))
+    let waited = day.since(job.at);
+    match (hasty(job), job.desc.due_s) {
+        (Some(within), _) if job.slack(day) >= -LATE_US => waited >= within.part(0.3),
+        (_, Some(_)) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
+        (_, None) => {
+            let half = job.starts_within.map_or(Micros::ZERO, |w| w.part(0.5));
+            waited >= PATIENCE.max(half)
         }
     }
 }
 
+/// The time within which a job should start, if that is sooner than room gets free
+/// by itself or a machine boots.
+fn hasty(job: &Job) -> Option<Micros> {
+    job.starts_within.filter(|w| *w <= PATIENCE)
+}
+
 /// Whether a job can stand that a task of it is stopped.
-fn relaxed(job: &Job, ran: Micros, day: Micros) -> bool {
+fn relaxed(job: &Job, ran: Micros, day: Micros, hasty: bool) -> bool {
     let left = job.slack(day) + ran.0 as i64;
-    left > RELAXED_US
+    // One that waits for room itself gets it back late, and would be stopped again
+    // and again: stopping helps where room is short for a moment, not all the time.
+    let least = match (hasty, job.waiting.is_empty()) {
+        (false, _) => RELAXED_US,
+        (true, true) => 2 * RELAXED_US,
+        (true, false) => 4 * RELAXED_US,
+    };
+    left > least
 }
 
 /// What is lost may be this part of what is won. Measured: at the whole of it,
 /// stopping cost all classes more than it gave the one that it was for.
 const WORTH_IT: f64 = 0.25;
+/// For a class that is to start at once, by its objective.
+const WORTH_HASTE: f64 = 0.7;
 
 /// What stopping an attempt loses, in core-seconds; none: it is left alone.
 fn loss(t: &Try, now: Micros) -> Option<(f64, f64)> {
@@ -241,7 +256,7 @@
         if scene
             .jobs
             .get(&v.id)
-            .is_some_and(|j| !relaxed(j, ran, scene.day))
+            .is_some_and(|j| !relaxed(j, ran, scene.day, hasty(job).is_some()))
         {
             return false;
         }
@@ -273,7 +288,12 @@
     }
     let count = request.times_in(&room).min(pending);
     let won = f64::from(count) * d.cores.max(0.1) * d.estimate_s.max(1.0);
-    (!victims.is_empty() && count > 0 && lost <= won * WORTH_IT).then(|| Plan {
+    let worth = if hasty(job).is_some() {
+        WORTH_HASTE
+    } else {
+        WORTH_IT
+    };
+    (!victims.is_empty() && count > 0 && lost <= won * worth).then(|| Plan {
         machine,
         victims,
         count,
