Inside a rank: least slack times least work first

Cause: under overload the least slack alone serves the jobs that are about to be lost, and the largest among them; jobs count in the aims, not tasks. Ruled out: that large jobs never run: the bound of 120 s goes before it.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -426,11 +426,19 @@
         self.dirty.extend(pages);
     }
 
-    /// The order among jobs of one rank: least slack first, but those whose
-    /// deadline is lost come after those that can still keep theirs.
-    pub fn urgency(&self, day: Micros) -> (bool, i64) {
+    /// The order among jobs of one rank: the least slack and the least work left
+    /// first, since jobs count and not tasks: of two that can't both keep their
+    /// deadlines, the smaller one is the cheaper to save. Those whose deadline is lost
+    /// come after those that can still keep theirs.
+    pub fn urgency(&self, day: Micros) -> (bool, u64) {
+        if self.desc.due_s.is_none() {
+            return (false, u64::MAX);
+        }
         let slack = self.slack(day);
-        (slack < -2_000_000, slack)
+        let left = (self.desc.tasks - self.done.len()) as f64;
+        let work = left * self.desc.cores.max(0.1) * self.desc.estimate_s.max(0.1);
+        let pressing = slack.max(0) as f64 / 1e6 + 10.0;
+        (slack < -2_000_000, (pressing * work) as u64)
     }
 
     /// Microseconds until it is due, less what its tasks still take; jobs
