--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -498,7 +498,7 @@
 }
 
 /// Spot machines are filled first, so that the dear ones get idle and are returned.
-const SPOT_FIRST: f64 = 0.4;
+const SPOT_FIRST: f64 = 1.2;
 
 fn missing(r: &Room<'_>, request: &Res) -> f64 {
     let lacking = *request - r.free;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -33,7 +33,7 @@
         Policy {
             block_cores: 9000.0,
             idle_return: Micros::from_millis(55_000),
-            idle_return_ordinary: Micros::from_millis(20_000),
+            idle_return_ordinary: Micros::from_millis(12_000),
             silent: Micros::from_millis(10_000),
             rent_horizon: Micros::from_millis(30_000),
         }
