Refilled room no longer passes a job that starves below its team's limit

Cause (a guard whose removal no test noticed led to it): the refill of one machine skipped the starving job as too large before its team's limit was looked at, so its own team went on taking what it needed. The test now fails without either guard.

--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -369,7 +369,8 @@
     for n in 0..170 {
         let mut stream = desc(&format!("j-{n}"), 1);
         stream.rank = crate::jobs::Rank::Production;
-        stream.due_s = Some(1_000.0);
+        // It can't wait, so it leaves no machine to the other.
+        stream.due_s = None;
         w.submit(&stream);
         w.pass(1.0);
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -113,6 +113,7 @@
 pub struct Queued {
     id: JobId,
     request: Res,
+    starved: bool,
 }
 
 /// Waiting jobs of each team; the next one is the last.
@@ -134,6 +135,7 @@
         let queued = |(id, j): (&JobId, &Job)| Queued {
             id: id.clone(),
             request: j.desc.request(),
+            starved: starved(j, scene.day),
         };
         (t, queue.into_iter().map(queued).collect())
     };
@@ -369,12 +371,14 @@
         let lightest = left.iter_mut().min_by(|a, b| a.1.total_cmp(&b.1));
         let Some((t, _, queue)) = lightest else { break };
         let (t, waiting) = (*t, *queue);
-        let Some((Queued { id, request }, rest)) = waiting.split_last() else {
+        let Some((next, rest)) = waiting.split_last() else {
             left.retain(|(_, _, q)| !q.is_empty());
             continue;
         };
-        // Where nothing is held, what fits into no room at all needs no second look.
-        if !floor.whole && !request.fits_in(&floor.most) {
+        let Queued { id, request, .. } = next;
+        // Where nothing is held, what fits into no room at all needs no second look;
+        // but others of its team must not pass one that starves below the limit.
+        if !floor.whole && !next.starved && !request.fits_in(&floor.most) {
             *queue = rest;
             continue;
         }
