--- /dev/null
+++ b/src/controller/core/leading.rs
@@ -0,0 +1,280 @@
+//! Standing for leader and leading; telling the peers; handing blocks back.
+
+use super::*;
+
+impl Core {
+    /// The leader clears what ended jobs left behind, a little at a time.
+    pub(super) fn tidy(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now.since(self.last_litter) < LITTER_EVERY {
+            return;
+        }
+        self.last_litter = now;
+        let Some(leader) = self.leading() else {
+            return;
+        };
+        let most = (self.settings.most_changes() / 2).min(8);
+        let litter = self.mirror.litter(most);
+        if litter.is_empty() {
+            return;
+        }
+        // Ids of ended jobs never come back, so these pages are nobody's.
+        let mut conds = vec![leader];
+        conds.extend(litter.iter().map(|(id, _)| cond(keys::job(id), Stamp(0))));
+        let ops = litter
+            .iter()
+            .map(|(id, page)| store::delete(keys::page(id, *page)))
+            .collect();
+        out.push(Effect::Store {
+            tag: Tag::Litter,
+            request: Request::Txn { conds, ops },
+            urgency: Urgency::Spare,
+        });
+    }
+
+    /// Standing for leader, granting, and the fleet.
+    pub(super) fn lead(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let label = self.settings.label.clone();
+        let Some(incarnation) = self.member.incarnation() else {
+            return;
+        };
+        if (self.leaderless.is_some() || self.leading().is_some())
+            && let Some(request) = self.leading_lease.step(now)
+        {
+            out.push(Effect::Store {
+                tag: Tag::LeaderLease,
+                request,
+                urgency: Urgency::Vital,
+            });
+        }
+        if let Some(since) = self.leaderless {
+            let Some(tenure) = self.leading_lease.alive(now) else {
+                return;
+            };
+            let lonely = self.lonely(now) || now < self.deaf_until;
+            if leader::candidacy(&self.mirror, &label, incarnation, since, now, lonely)
+                && self.claim(now, "candidacy")
+            {
+                let conds = vec![
+                    cond(keys::LEADER.into(), Stamp(0)),
+                    cond(keys::member(&label), incarnation),
+                ];
+                let ops = vec![store::set_leased(
+                    keys::LEADER.into(),
+                    &LeaderRec {
+                        holder: label.clone(),
+                        incarnation,
+                    },
+                    tenure,
+                )];
+                out.push(vital(Tag::Candidacy, conds, ops));
+            }
+            return;
+        }
+        let before = self
+            .mirror
+            .leader
+            .as_ref()
+            .filter(|(_, r)| r.holder == label && r.incarnation != incarnation)
+            .map(|(stamp, _)| *stamp);
+        if let Some(stamp) = before
+            && self.claim(now, "step_down")
+        {
+            // Our earlier incarnation led; that process is dead, since it was us.
+            let conds = vec![cond(keys::LEADER.into(), stamp)];
+            out.push(vital(
+                Tag::StepDown,
+                conds,
+                vec![store::delete(keys::LEADER.into())],
+            ));
+            return;
+        }
+        let Some(leader_cond) = self.leading() else {
+            return;
+        };
+        if self.lonely(now) && self.claim(now, "step_down") {
+            // Behind a cut a leader still reaches the store, but not those it leads.
+            tracing::info!("no other member is heard: stepping down");
+            out.push(vital(
+                Tag::StepDown,
+                vec![leader_cond],
+                vec![store::delete(keys::LEADER.into())],
+            ));
+            return;
+        }
+        let since = self.leading_since.unwrap_or(now);
+        let complete = self.mirror.members.len() >= self.settings.platform.initial_size;
+        // At the very start, others are about to join: blocks go round at once.
+        if complete
+            || !self.mirror.holders.is_empty()
+            || now.since(since) > Micros::from_millis(2_000)
+        {
+            let fit = |l: &Label| self.fit(now, l);
+            let grants = leader::grants(
+                &self.mirror,
+                leader_cond.clone(),
+                &self.settings,
+                self.policy.blocks(&self.settings),
+                &fit,
+            );
+            if let Some((conds, ops)) = grants
+                && self.claim(now, "grants")
+            {
+                out.push(vital(Tag::Grants, conds, ops));
+            }
+        }
+        if let Some(types) = self.types.clone() {
+            if now.since(self.last_types) > Micros::from_millis(60_000) && self.claim(now, "types")
+            {
+                // Spot prices move.
+                self.last_types = now;
+                out.push(Effect::Cloud(CloudRequest::Types));
+            }
+            let news = self.all_news(now);
+            let reign = self.mirror.leader.as_ref().map_or(Stamp(0), |(s, _)| *s);
+            for e in self
+                .manager
+                .step(now, &self.mirror, &leader_cond, self.seen, &types, &news)
+            {
+                out.push(match e {
+                    manager::Effect::Cloud(request) => Effect::Cloud(request),
+                    manager::Effect::Txn(write, conds, ops) => Effect::Store {
+                        tag: Tag::Manager(reign, write),
+                        request: Request::Txn { conds, ops },
+                        urgency: Urgency::Prompt,
+                    },
+                });
+            }
+        }
+    }
+
+    /// The newest word on every block, our own included.
+    fn all_news(&self, now: Micros) -> BTreeMap<BlockId, BlockNews> {
+        let mut all: BTreeMap<BlockId, BlockNews> = BTreeMap::new();
+        let theirs = self.peers.values().flat_map(|(at, n)| {
+            n.blocks.iter().map(move |b| BlockNews {
+                at: *at,
+                ..b.clone()
+            })
+        });
+        for n in theirs.chain(self.own_news(now)) {
+            if all
+                .get(&n.block)
+                .is_none_or(|o| (o.term, o.at) < (n.term, n.at))
+            {
+                all.insert(n.block, n);
+            }
+        }
+        all
+    }
+
+    fn own_news(&self, now: Micros) -> Vec<BlockNews> {
+        let news = |h: &Holder| BlockNews {
+            at: now,
+            block: h.block,
+            term: h.term,
+            needs: self.needs.get(&h.block).cloned().unwrap_or_default(),
+            dead: h.dead(now),
+        };
+        self.held.values().map(news).collect()
+    }
+
+    /// Tells the peers, gives up what is idle, and writes the sums.
+    pub(super) fn tell(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
+        if now.since(self.last_news) < NEWS_EVERY {
+            return;
+        }
+        self.last_news = now;
+        let fleet = self.fleet;
+        self.needs = self
+            .held
+            .iter()
+            .map(|(b, h)| (*b, h.needs(now, day, fleet)))
+            .collect();
+        let blocks = self.own_news(now);
+        for n in blocks.iter().filter(|n| !n.dead.is_empty()) {
+            if let Some(h) = self.held.get_mut(&n.block) {
+                h.condemn(&n.dead);
+            }
+        }
+        out.push(Effect::News(News {
+            from: self.settings.label.clone(),
+            incarnation: self.member.incarnation().unwrap_or_default(),
+            store_ok: self.store_ok(now),
+            hears_workers: now >= self.deaf_until,
+            blocks,
+        }));
+        let all = self.all_news(now);
+        for (b, h) in &mut self.held {
+            let others: Vec<Need> = all
+                .iter()
+                .filter(|(o, n)| *o != b && now.since(n.at) < Micros::from_millis(3_000))
+                .flat_map(|(_, n)| n.needs.iter().cloned())
+                .collect();
+            let own = self.needs.get(b).map(Vec::as_slice).unwrap_or_default();
+            if let Some(e) = h.give_up(now, &self.mirror, own, &others) {
+                out.push(holder_effect(*b, h.term, e));
+            }
+        }
+        if now.since(self.last_sums) >= SUMS_EVERY {
+            self.last_sums = now;
+            let mut sums = BTreeMap::new();
+            for h in self.held.values_mut() {
+                h.log_use(now);
+                sums.extend(h.sums(fleet));
+            }
+            let ops = vec![store::set(keys::sums(&self.settings.label), &sums)];
+            let request = Request::Txn { conds: vec![], ops };
+            out.push(Effect::Store {
+                tag: Tag::Sums,
+                request,
+                urgency: Urgency::Spare,
+            });
+        }
+    }
+
+    /// Hands blocks back: all if we hear no machine, one if others hold fewer.
+    pub(super) fn resign(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let others = self
+            .mirror
+            .members
+            .keys()
+            .filter(|l| **l != self.settings.label);
+        let counts: Vec<usize> = others
+            .filter(|l| self.fit(now, l) && self.peers.contains_key(*l))
+            .map(|l| {
+                self.mirror
+                    .holders
+                    .values()
+                    .filter(|(_, r)| r.holder == *l && self.mirror.holder_alive(r))
+                    .count()
+            })
+            .collect();
+        let Some(least) = counts.iter().min() else {
+            return;
+        };
+        if self.held.values().any(|h| h.deaf(now)) {
+            tracing::info!("none of our machines is heard: handing our blocks back");
+            self.deaf_until = now + Micros::from_millis(30_000);
+            for h in self.held.values() {
+                let (conds, ops) = h.resignation();
+                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+            }
+            return;
+        }
+        let settled = self
+            .held
+            .values()
+            .all(|h| !h.rebuilding() && now.since(h.granted) > Micros::from_millis(5_000));
+        if self.held.len() >= least + 2
+            && settled
+            && now.since(self.last_resign) > Micros::from_millis(10_000)
+        {
+            self.last_resign = now;
+            if let Some(h) = self.held.values().next_back() {
+                tracing::info!(block = %h.block, "another member holds fewer blocks: handing one over");
+                let (conds, ops) = h.resignation();
+                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+            }
+        }
+    }
+}
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -1,9 +1,10 @@
 //! The leader's dealings with the cloud: what to rent, what to return, and
 //! which block each machine goes to.
 
+use super::shards::{Draft, Spread};
 use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
 use crate::blocks::leader::take_terms;
-use crate::blocks::{Freed, HireRec, MachineRec, MachinesRec};
+use crate::blocks::{Freed, HireRec, MachineRec};
 use crate::clock::Micros;
 use crate::fairness::Res;
 use crate::ids::{BlockId, MachineId, Stamp};
@@ -697,130 +698,4 @@
     }
 }
 
-/// The shards that one transaction changes, within what it may hold.
-struct Draft<'a> {
-    mirror: &'a Mirror,
-    value_bytes: usize,
-    txn_ops: usize,
-    shards: BTreeMap<(BlockId, u32), MachinesRec>,
-}
-
-/// Less than the 64 KiB that a transaction may have.
-const TXN_BYTES: usize = 40 * 1024;
-
-impl<'a> Draft<'a> {
-    fn new(mirror: &'a Mirror, value_bytes: usize, txn_ops: usize) -> Self {
-        Draft {
-            mirror,
-            value_bytes,
-            txn_ops,
-            shards: BTreeMap::new(),
-        }
-    }
-
-    /// Whether no further shard can be changed beside `others` other changes.
-    fn full(&self, others: usize) -> bool {
-        let bytes: usize = self.shards.values().map(MachinesRec::size).sum();
-        // One change is kept for the term.
-        self.shards.len() + others + 1 >= self.txn_ops || bytes > TXN_BYTES
-    }
-
-    fn shard(&mut self, at: (BlockId, u32), others: usize) -> Option<&mut MachinesRec> {
-        if !self.shards.contains_key(&at) {
-            if self.full(others) {
-                return None;
-            }
-            let old = self.mirror.machines.get(&at);
-            self.shards.insert(
-                at,
-                old.map_or_else(Default::default, |(_, r)| (**r).clone()),
-            );
-        }
-        self.shards.get_mut(&at)
-    }
-
-    /// Into the first shard of the block with room, or a new one.
-    fn insert(&mut self, b: BlockId, id: &MachineId, rec: MachineRec, others: usize) -> bool {
-        let mut n = 0;
-        loop {
-            let at = (b, n);
-            let now = self
-                .shards
-                .get(&at)
-                .or_else(|| self.mirror.machines.get(&at).map(|(_, r)| &**r));
-            if now.is_none_or(|r| r.has_room(&rec, self.value_bytes)) {
-                let Some(shard) = self.shard(at, others) else {
-                    return false;
-                };
-                shard.0.insert(id.clone(), rec);
-                return true;
-            }
-            n += 1;
-        }
-    }
-
-    fn remove(&mut self, at: (BlockId, u32), id: &MachineId, others: usize) -> bool {
-        let shard = self.shard(at, others);
-        shard.is_some_and(|s| s.0.remove(id).is_some())
-    }
-}
-
-/// Spreads machines over the blocks: to the one that lacks such a machine most, by
-/// what its holder reports and what it got just now, or to the one with the least.
-struct Spread<'a> {
-    news: &'a BTreeMap<BlockId, BlockNews>,
-    types: &'a [MachineType],
-    cores: BTreeMap<BlockId, f64>,
-    given: BTreeMap<BlockId, f64>,
-}
-
-impl<'a> Spread<'a> {
-    fn new(
-        mirror: &Mirror,
-        news: &'a BTreeMap<BlockId, BlockNews>,
-        types: &'a [MachineType],
-        blocks: &[BlockId],
-    ) -> Self {
-        let mut cores: BTreeMap<BlockId, f64> = blocks.iter().map(|b| (*b, 0.0)).collect();
-        for (b, _, m) in mirror.all_machines() {
-            if let (Some(sum), Some(t)) =
-                (cores.get_mut(&b), types.iter().find(|t| t.name == m.build))
-            {
-                *sum += t.cores;
-            }
-        }
-        Spread {
-            news,
-            types,
-            cores,
-            given: BTreeMap::new(),
-        }
-    }
-
-    fn next(&mut self, build: &str, zone: &str, spot: bool) -> Option<BlockId> {
-        let t = self.types.iter().find(|t| t.name == build)?;
-        let capacity = t.capacity();
-        let lacking = |b: &BlockId| {
-            let needs = self.news.get(b).map_or(&[][..], |n| n.needs.as_slice());
-            let fitting = needs
-                .iter()
-                .filter(|n| n.fits(build, zone, spot, &capacity));
-            let cores: f64 = fitting.map(|n| n.request.cores * f64::from(n.count)).sum();
-            (cores - self.given.get(b).copied().unwrap_or(0.0)).max(0.0)
-        };
-        let weight = |(b, cores): &(&BlockId, &f64)| (lacking(b), -**cores);
-        let to = self
-            .cores
-            .iter()
-            .max_by(|a, b| {
-                let (a, b) = (weight(a), weight(b));
-                a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
-            })
-            .map(|(b, _)| *b)?;
-        *self.given.entry(to).or_default() += t.cores;
-        *self.cores.entry(to).or_default() += t.cores;
-        Some(to)
-    }
-}
-
 pub type Types = Arc<Vec<MachineType>>;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod manager;
+mod shards;
 
 use crate::fairness::Res;
 use crate::ids::MachineId;
