Tidy: one check of allowed types, one bound of a transaction, no copies of types per pass

Placement's needs and the scarce classes stated the job's check of types again; two files had the same bound; each pass copied the list of types; a field of the leader's write was never read; two tests opened alike.

--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -153,7 +153,8 @@
     /// Takes over what the mirror has. What ran before is learnt from reports:
     /// until a machine has reported under our token, it may run anything.
     pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
-        self.know_types(types);
+        // For telling which work has a choice of machines.
+        self.picky = Picky::new(types);
         let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
         for n in shards {
             self.sync_shard(now, n, mirror, types, true);
@@ -164,11 +165,6 @@
         }
     }
 
-    /// The types of machines that there are, for telling which work has a choice.
-    pub fn know_types(&mut self, types: &[MachineType]) {
-        self.picky = Picky::new(types);
-    }
-
     /// A shard of the block's machines changed in the store.
     pub fn sync_shard(
         &mut self,
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -6,7 +6,7 @@
 use crate::ids::{JobId, MachineId, Stamp};
 use crate::placement::{self, Need};
 use crate::store::mirror::Mirror;
-use crate::store::{self, Cond, Op, Reply, cond, keys};
+use crate::store::{self, Cond, Op, Reply, TXN_BYTES, cond, keys};
 use crate::workers::{Key, Leaving, Machine};
 
 /// A job's progress is batched for this long, and longer where all blocks' progress
@@ -17,8 +17,6 @@
 const OPEN_GAP: Micros = Micros::from_millis(700);
 const LEAST_CHARGED: Micros = Micros::from_millis(60_000);
 const GIVE_UP_GAP: Micros = Micros::from_millis(500);
-/// Less than the 64 KiB that a transaction may have.
-const TXN_BYTES: usize = 40 * 1024;
 
 impl Holder {
     /// Batches of job changes for the store: ends at once, then progress.
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -29,8 +29,8 @@
         }
         self.stir = false;
         let queues = placement::queues(&self.scene(now, day, fleet));
-        let picky = self.picky.waiting(&self.scene(now, day, fleet), &queues);
-        self.picky = picky;
+        let waiting = self.picky.waiting(&self.scene(now, day, fleet), &queues);
+        self.picky.set_waiting(waiting);
         let scene = self.scene(now, day, fleet);
         let mut cost = 0;
         if !queues.is_empty() {
--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -238,16 +238,22 @@
     assert_eq!(members.count(), 3, "and every controller is in");
 }
 
-#[test]
-fn a_machine_back_in_a_fraction_of_a_second_is_known_and_late_commands_do_no_harm() {
+/// A worker that begins anew after so many messages: its reports would count as old
+/// for long. With where the task runs.
+fn with_a_task_after_a_long_life() -> (World, usize) {
     let mut w = started(1, 2);
-    // A long life, so that its reports count as old for long after it began anew.
     for m in &mut w.workers {
         m.tally += 1_000;
     }
     w.submit(&desc("j-1", 1));
     w.pass(3.0);
     let at = w.running("j-1/0")[0];
+    (w, at)
+}
+
+#[test]
+fn a_machine_back_in_a_fraction_of_a_second_is_known_and_late_commands_do_no_harm() {
+    let (mut w, at) = with_a_task_after_a_long_life();
     // A launch that gets lost on its way there.
     w.hold_directs = true;
     w.submit(&desc("j-2", 1));
@@ -270,13 +276,7 @@
 
 #[test]
 fn a_copy_of_a_launch_that_was_carried_out_meets_a_fence_at_a_reborn_worker() {
-    let mut w = started(1, 2);
-    for m in &mut w.workers {
-        m.tally += 1_000;
-    }
-    w.submit(&desc("j-1", 1));
-    w.pass(3.0);
-    let at = w.running("j-1/0")[0];
+    let (mut w, at) = with_a_task_after_a_long_life();
     let launches = w.done_directs.clone();
     assert!(
         launches
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -23,7 +23,6 @@
     /// Machines' keys; the hires that it settles.
     Machines {
         settled: Vec<String>,
-        removed: Vec<MachineId>,
     },
     Hire {
         name: String,
@@ -322,12 +321,9 @@
                 ops.push(store::delete(keys::hire(name)));
             }
         }
-        let mut removed = Vec::new();
         for id in &self.returned {
-            if let Some((at, _)) = mirror.machine(id)
-                && draft.remove(at, id, ops.len())
-            {
-                removed.push(id.clone());
+            if let Some((at, _)) = mirror.machine(id) {
+                draft.remove(at, id, ops.len());
             }
         }
         // Machines that nobody expected: a late rental, or there from the start.
@@ -383,11 +379,7 @@
             ops.push(term_op);
         }
         self.writing = true;
-        Some(Effect::Txn(
-            Write::Machines { settled, removed },
-            conds,
-            ops,
-        ))
+        Some(Effect::Txn(Write::Machines { settled }, conds, ops))
     }
 
     fn ask_hires(&mut self, now: Micros, mirror: &Mirror, leader: &Cond, out: &mut Vec<Effect>) {
@@ -664,7 +656,7 @@
 
     pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
         match write {
-            Write::Machines { settled, .. } => {
+            Write::Machines { settled } => {
                 self.writing = false;
                 if let Reply::Committed(stamp) = reply {
                     self.wait_for = *stamp;
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -4,6 +4,7 @@
 use crate::blocks::{MachineRec, MachinesRec};
 use crate::ids::{BlockId, MachineId};
 use crate::mesh::BlockNews;
+use crate::store::TXN_BYTES;
 use crate::store::mirror::Mirror;
 use std::collections::BTreeMap;
 
@@ -15,9 +16,6 @@
     pub shards: BTreeMap<(BlockId, u32), MachinesRec>,
 }
 
-/// Less than the 64 KiB that a transaction may have.
-const TXN_BYTES: usize = 40 * 1024;
-
 impl<'a> Draft<'a> {
     pub fn new(mirror: &'a Mirror, value_bytes: usize, txn_ops: usize) -> Self {
         Draft {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -96,6 +96,11 @@
     NeverRuns(String),
 }
 
+/// No list of types allows any.
+pub fn allows_build(builds: &Option<Vec<String>>, build: &str) -> bool {
+    builds.as_ref().is_none_or(|b| b.iter().any(|b| b == build))
+}
+
 impl JobDesc {
     pub fn request(&self) -> Res {
         Res::new(self.cores, self.cards, self.mem)
@@ -111,10 +116,7 @@
     pub fn allows(&self, build: &str, zone: &str, spot: bool) -> bool {
         (self.spot || !spot)
             && self.zone.as_deref().is_none_or(|z| z == zone)
-            && self
-                .builds
-                .as_ref()
-                .is_none_or(|b| b.iter().any(|b| b == build))
+            && allows_build(&self.builds, build)
     }
 
     /// Reads a submission; whatever is missing or invalid makes it malformed.
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -3,7 +3,7 @@
 use super::Scene;
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::jobs::{Job, JobDesc};
+use crate::jobs::{Job, JobDesc, allows_build};
 use crate::workers::Leaving;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -25,10 +25,7 @@
     pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Res) -> bool {
         (self.spot || !spot)
             && self.zone.as_deref().is_none_or(|z| z == zone)
-            && self
-                .builds
-                .as_ref()
-                .is_none_or(|b| b.iter().any(|b| b == build))
+            && allows_build(&self.builds, build)
             && self.request.fits_in(capacity)
     }
 
--- a/src/placement/picky.rs
+++ b/src/placement/picky.rs
@@ -9,7 +9,7 @@
 use crate::clock::Micros;
 use crate::fairness::Res;
 use crate::fleet::MachineType;
-use crate::jobs::{Job, JobDesc};
+use crate::jobs::{Job, JobDesc, allows_build};
 
 #[derive(Debug, Default)]
 pub struct Picky {
@@ -41,16 +41,13 @@
     fn fitting(&self, d: &JobDesc) -> Vec<bool> {
         let request = d.request();
         let fits = |(name, capacity): &(String, Res)| {
-            request.fits_in(capacity)
-                && d.builds
-                    .as_ref()
-                    .is_none_or(|b| b.iter().any(|b| b == name))
+            request.fits_in(capacity) && allows_build(&d.builds, name)
         };
         self.types.iter().map(fits).collect()
     }
 
-    /// The same with the classes that wait now, of teams that may have more.
-    pub fn waiting(&self, scene: &Scene<'_>, queues: &Queues) -> Picky {
+    /// The classes that wait now, of teams that may have more.
+    pub fn waiting(&self, scene: &Scene<'_>, queues: &Queues) -> Vec<Vec<bool>> {
         let mut waiting: Vec<Vec<bool>> = Vec::new();
         for (t, queue) in queues {
             let limit = scene.settings.platform.teams[*t].limit();
@@ -68,10 +65,11 @@
                 }
             }
         }
-        Picky {
-            types: self.types.clone(),
-            waiting,
-        }
+        waiting
+    }
+
+    pub fn set_waiting(&mut self, waiting: Vec<Vec<bool>>) {
+        self.waiting = waiting;
     }
 
     /// The types of machines that a job leaves to others for now.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,6 +12,9 @@
 /// so that a watch or a fresh start never reads all of history.
 pub const ROOT: &str = "r/";
 
+/// Our transactions stay below this; they may have 64 KiB.
+pub const TXN_BYTES: usize = 40 * 1024;
+
 pub mod keys {
     use crate::ids::{BlockId, JobId, Label};
 
