--- /dev/null
+++ b/src/api/desk/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+use crate::store::{Change, Row};
+
+fn secs(s: f64) -> Micros {
+    Micros::from_secs(s)
+}
+
+#[test]
+fn a_question_waits_for_a_reading_begun_after_it() {
+    let mut d = Desk::default();
+    let mirror = Mirror::default();
+    assert_eq!(d.ask(secs(2.0), "j-1".into(), 7, true), None);
+    // Begun before: another node may have accepted the job in between.
+    assert_eq!(d.reading(secs(1.9), &mirror), vec![]);
+    let read = d.reading(secs(2.1), &mirror);
+    assert_eq!(read, vec![Effect::ReadEnded("j-1".into())]);
+    let told = d.ended("j-1".into(), &Reply::Missing);
+    assert_eq!(told, vec![Effect::Found(7, Found::Nothing)]);
+    // Nothing is not remembered: it may be submitted any time.
+    assert_eq!(d.ask(secs(3.0), "j-1".into(), 8, true), None);
+}
+
+#[test]
+fn one_reading_answers_all_and_an_end_is_remembered() {
+    let mut d = Desk::default();
+    let mut mirror = Mirror::default();
+    let rec = crate::jobs::tests::rec("j-1", 4, crate::ids::Term(1));
+    let change = |set: &str, value, stamp| Change {
+        set: Some(set.into()),
+        delete: None,
+        value,
+        stamp: Stamp(stamp),
+    };
+    let value = serde_json::to_value(&rec).expect("a record");
+    mirror.change(change("r/jobs/j-1", value, 3));
+    let page = serde_json::json!({"owner": "c0", "done": [[0, 2]], "running": 1});
+    mirror.change(change("r/done/j-1/0000", page, 4));
+    for t in 0..100 {
+        assert_eq!(d.ask(secs(2.0), "j-1".into(), t, true), None);
+        assert_eq!(d.ask(secs(2.0), "j-2".into(), 100 + t, true), None);
+    }
+    let told = d.reading(secs(2.0), &mirror);
+    let reads = told.iter().filter(|e| matches!(e, Effect::ReadEnded(_)));
+    assert_eq!(
+        (told.len(), reads.count()),
+        (101, 1),
+        "one read, not a hundred"
+    );
+    assert!(told.iter().any(|e| matches!(
+        e,
+        Effect::Found(
+            0,
+            Found::Live {
+                standing: Standing::Running,
+                done: 2,
+                running: 1,
+                ..
+            }
+        )
+    )));
+    let row = Row {
+        key: "ended/j-2".into(),
+        value: serde_json::json!({"standing": "done", "tasks": 4}),
+        stamp: Stamp(5),
+    };
+    assert_eq!(d.ended("j-2".into(), &Reply::Found(row)).len(), 100);
+    let told = d.ask(secs(9.0), "j-2".into(), 1, false);
+    assert!(matches!(told, Some(Effect::Found(1, Found::Ended(_)))));
+}
+
+#[test]
+fn without_readings_questions_are_refused_at_once_or_soon() {
+    let mut d = Desk::default();
+    let refused = Some(Effect::Found(1, Found::Unreadable));
+    assert_eq!(d.ask(secs(2.0), "j-1".into(), 1, false), refused);
+    assert_eq!(d.ask(secs(2.0), "j-1".into(), 2, true), None);
+    assert_eq!(d.expire(secs(3.0)), vec![]);
+    let late = d.expire(secs(3.5));
+    assert_eq!(late, vec![Effect::Found(2, Found::Unreadable)]);
+}
--- /dev/null
+++ b/src/blocks/leader/tests.rs
@@ -0,0 +1,126 @@
+use super::*;
+use crate::blocks::{LeaderRec, MemberRec};
+use crate::ids::Tenure;
+use crate::settings::tests::settings;
+
+fn mirror(members: &[(&str, u64)]) -> Mirror {
+    let mut m = Mirror {
+        loaded: true,
+        ..Mirror::default()
+    };
+    m.leader = Some((
+        Stamp(5),
+        LeaderRec {
+            holder: Label::from("c0"),
+            incarnation: Stamp(1),
+        },
+    ));
+    m.term = (Stamp(4), TermRec { last: Term(9) });
+    for (label, stamp) in members {
+        let rec = MemberRec {
+            addr: String::new(),
+            tenure: Tenure(*stamp),
+        };
+        m.members.insert(Label::from(*label), (Stamp(*stamp), rec));
+    }
+    m
+}
+
+fn try_grants(
+    m: &Mirror,
+    blocks: u64,
+    fit: &dyn Fn(&Label) -> bool,
+) -> Option<(Vec<Cond>, Vec<Op>)> {
+    let leader = as_leader(m, &settings().label, Some(Stamp(1)))?;
+    grants(m, leader, &settings(), blocks, fit)
+}
+
+fn granted(ops: &[Op]) -> Vec<(String, HolderRec)> {
+    ops.iter()
+        .filter_map(|op| match op {
+            Op::Set { key, value, .. } if key.ends_with("holder") => Some((
+                key.clone(),
+                serde_json::from_value(value.clone()).expect("a holder"),
+            )),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn every_block_goes_to_a_living_member_under_its_own_new_term() {
+    let m = mirror(&[("c0", 1), ("c1", 2)]);
+    let (conds, ops) = try_grants(&m, 2, &|_| true).expect("grants");
+    let g = granted(&ops);
+    assert_eq!(g.len(), 2);
+    assert_ne!(g[0].1.holder, g[1].1.holder);
+    assert_eq!((g[0].1.term, g[1].1.term), (Term(10), Term(11)));
+    assert!(conds.contains(&cond("r/leader".into(), Stamp(5))));
+    assert!(conds.contains(&cond("r/term".into(), Stamp(4))));
+    assert!(conds.contains(&cond("r/members/c1".into(), Stamp(2))));
+    let teams: Vec<_> = g.iter().flat_map(|(_, r)| r.teams.clone()).collect();
+    assert_eq!(teams, vec!["red", "blue"], "each team in exactly one block");
+}
+
+#[test]
+fn a_dead_holders_block_goes_whole_to_a_survivor_and_keeps_its_teams() {
+    let mut m = mirror(&[("c0", 1), ("c1", 20)]);
+    // c1 came back as a new incarnation: its old grant is void.
+    let old = HolderRec {
+        holder: "c1".into(),
+        incarnation: Stamp(2),
+        term: Term(7),
+        teams: vec!["red".into(), "blue".into()],
+    };
+    m.holders.insert(BlockId(0), (Stamp(8), old));
+    let (conds, ops) = try_grants(&m, 1, &|l| l.as_str() == "c0").expect("grants");
+    let g = granted(&ops);
+    assert_eq!(
+        (g[0].1.holder.as_str(), g[0].1.term, g[0].1.teams.len()),
+        ("c0", Term(10), 2)
+    );
+    assert!(conds.contains(&cond("r/blocks/0/holder".into(), Stamp(8))));
+}
+
+#[test]
+fn only_the_leader_grants_and_a_living_holder_keeps_its_block() {
+    let mut m = mirror(&[("c0", 1)]);
+    let held = HolderRec {
+        holder: "c0".into(),
+        incarnation: Stamp(1),
+        term: Term(7),
+        teams: vec![],
+    };
+    m.holders.insert(BlockId(0), (Stamp(8), held));
+    assert_eq!(try_grants(&m, 1, &|_| true), None);
+    m.leader = Some((
+        Stamp(6),
+        LeaderRec {
+            holder: "c1".into(),
+            incarnation: Stamp(2),
+        },
+    ));
+    m.holders.clear();
+    assert_eq!(try_grants(&m, 1, &|_| true), None);
+}
+#[test]
+fn who_handed_a_block_back_does_not_get_it_again_while_others_are_in() {
+    let mut m = mirror(&[("c0", 1), ("c1", 2)]);
+    let back = HolderRec {
+        holder: "c1".into(),
+        incarnation: Stamp(0),
+        term: Term(7),
+        teams: vec!["red".into(), "blue".into()],
+    };
+    m.holders.insert(BlockId(0), (Stamp(8), back));
+    // Nobody is heard by the leader just now.
+    let (_, ops) = try_grants(&m, 1, &|_| false).expect("grants");
+    assert_eq!(granted(&ops)[0].1.holder.as_str(), "c0");
+    m.members.remove(&"c0".into());
+    let (_, ops) = try_grants(&m, 1, &|_| false).expect("grants");
+    assert_eq!(
+        granted(&ops)[0].1.holder.as_str(),
+        "c1",
+        "better than nobody"
+    );
+}
--- /dev/null
+++ b/src/blocks/member/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+use crate::store::Row;
+
+fn member() -> Member {
+    Member::new(
+        Label::from("c0"),
+        "a:1".into(),
+        Micros::from_secs(12.0),
+        Micros::from_secs(11.0),
+    )
+}
+
+fn join(m: &mut Member, now: Micros) {
+    m.step(now).expect("a look");
+    m.reply(now, &Reply::Missing);
+    m.step(now).expect("a lease");
+    m.reply(now, &Reply::Leased(Tenure(7)));
+    m.step(now).expect("a registration");
+    m.reply(now, &Reply::Committed(Stamp(42)));
+}
+
+#[test]
+fn a_restart_under_the_same_label_ends_the_old_lease_and_waits_for_nobody() {
+    let mut m = member();
+    m.step(Micros(1));
+    let value = serde_json::json!({"addr": "a:1", "tenure": 3});
+    m.reply(
+        Micros(2),
+        &Reply::Found(Row {
+            key: "r/members/c0".into(),
+            value,
+            stamp: Stamp(9),
+        }),
+    );
+    assert_eq!(
+        m.step(Micros(3)),
+        Some(Request::EndLease { tenure: Tenure(3) })
+    );
+    m.reply(Micros(4), &Reply::Done);
+    join(&mut m, Micros(5));
+    assert_eq!(m.incarnation(), Some(Stamp(42)));
+}
+
+#[test]
+fn the_lease_counts_from_when_a_renewal_was_sent() {
+    let mut m = member();
+    let t = Micros::from_secs(1.0);
+    join(&mut m, t);
+    assert_eq!(m.acts_until(t), Micros::from_secs(12.0));
+    m.step(Micros::from_secs(5.0));
+    m.reply(Micros::from_secs(7.0), &Reply::Done);
+    assert_eq!(
+        m.acts_until(Micros::from_secs(30.0)),
+        Micros::from_secs(16.0)
+    );
+    // Without a reading of the changes, the renewal does not help.
+    assert_eq!(
+        m.acts_until(Micros::from_secs(2.0)),
+        Micros::from_secs(13.0)
+    );
+}
+
+#[test]
+fn an_unanswered_renewal_extends_nothing_and_a_lost_lease_ends_the_incarnation() {
+    let mut m = member();
+    let t = Micros::from_secs(1.0);
+    join(&mut m, t);
+    m.step(Micros::from_secs(5.0));
+    m.reply(Micros::from_secs(7.0), &Reply::Unknown);
+    assert_eq!(
+        m.acts_until(Micros::from_secs(30.0)),
+        Micros::from_secs(12.0)
+    );
+    m.step(Micros::from_secs(8.0)).expect("again");
+    m.reply(Micros::from_secs(8.0), &Reply::LeaseGone);
+    assert_eq!(
+        (m.incarnation(), m.acts_until(Micros::from_secs(8.0))),
+        (None, Micros::ZERO)
+    );
+}
--- /dev/null
+++ b/src/jobs/tests.rs
@@ -0,0 +1,169 @@
+use super::*;
+use crate::settings::tests::settings;
+
+pub fn body() -> serde_json::Value {
+    serde_json::json!({
+        "id": "j-000412", "lot": "train", "crew": "red", "form": "sweep", "rank": "high", "hands": 4,
+        "cores": 2.0, "cards": 0.0, "memGb": 4.0, "deck": "img-07", "sizeGb": 1.0,
+        "builds": null, "yard": null, "oneZone": false, "apart": false, "loaners": true,
+        "reckonS": 10.0, "markS": 0.0, "stowS": 0.0, "dueS": 60.0, "new": "field"
+    })
+}
+
+pub fn desc(id: &str, tasks: u32) -> JobDesc {
+    let mut b = body();
+    b["id"] = id.into();
+    b["hands"] = tasks.into();
+    JobDesc::parse(b.to_string().as_bytes()).expect("well formed")
+}
+
+pub fn rec(id: &str, tasks: u32, born: Term) -> JobRec {
+    JobRec {
+        desc: desc(id, tasks),
+        at: Micros(0),
+        born,
+    }
+}
+
+pub fn types() -> Vec<MachineType> {
+    serde_json::from_value(serde_json::json!([
+        {"name": "small", "cores": 4.0, "cards": 0.0, "memGb": 16.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
+         "price": 0.2, "lowPrice": 0.1, "readyS": 30.0, "yards": ["x", "y"]},
+        {"name": "big", "cores": 16.0, "cards": 0.0, "memGb": 64.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
+         "price": 0.8, "lowPrice": 0.3, "readyS": 30.0, "yards": ["x"]}
+    ]))
+    .expect("well formed")
+}
+
+#[test]
+fn bad_input_is_malformed() {
+    let parse = |v: &serde_json::Value| JobDesc::parse(v.to_string().as_bytes());
+    assert!(parse(&body()).is_ok());
+    assert!(matches!(JobDesc::parse(b"{"), Err(Refusal::Malformed(_))));
+    assert!(matches!(JobDesc::parse(b"[]"), Err(Refusal::Malformed(_))));
+    let cases = [
+        ("hands", serde_json::json!(0)),
+        ("hands", serde_json::json!(100_001)),
+        ("hands", serde_json::json!(1.5)),
+        ("cores", serde_json::json!(-1.0)),
+        ("cores", serde_json::json!("2")),
+        ("memGb", serde_json::json!(null)),
+        ("dueS", serde_json::json!(-3.0)),
+        ("id", serde_json::json!("job 1")),
+        ("rank", serde_json::json!("urgent")),
+        ("form", serde_json::json!("gang")),
+        ("oneZone", serde_json::json!(null)),
+    ];
+    for (field, value) in cases {
+        let mut b = body();
+        b[field] = value.clone();
+        assert!(
+            matches!(parse(&b), Err(Refusal::Malformed(_))),
+            "{field} = {value}"
+        );
+    }
+    for field in ["id", "crew", "hands", "deck", "reckonS", "loaners"] {
+        let mut b = body();
+        b.as_object_mut().expect("an object").remove(field);
+        assert!(
+            matches!(parse(&b), Err(Refusal::Malformed(_))),
+            "without {field}"
+        );
+    }
+    assert!(JobDesc::parse(br#"{"cores":1e999}"#).is_err());
+}
+
+#[test]
+fn what_can_never_run_is_told_apart() {
+    let s = settings();
+    assert_eq!(desc("j-1", 4).admissible(&s, &types()), Ok(()));
+    let check = |change: &dyn Fn(&mut JobDesc)| {
+        let mut d = desc("j-1", 4);
+        change(&mut d);
+        matches!(d.admissible(&s, &types()), Err(Refusal::NeverRuns(_)))
+    };
+    assert!(check(&|d| d.team = "green".into()));
+    assert!(check(&|d| d.cores = 17.0));
+    assert!(check(&|d| d.mem = 65.0));
+    assert!(check(&|d| d.zone = Some("nowhere".into())));
+    assert!(check(&|d| d.builds = Some(vec![])));
+    assert!(check(&|d| d.class = "x".repeat(17_000)));
+    assert!(check(&|d| {
+        d.zone = Some("y".into());
+        d.cores = 8.0;
+    }));
+}
+
+#[test]
+fn finished_tasks_of_a_large_job_are_split_over_keys() {
+    for value_kb in [1.0, 16.0, 32.0] {
+        let page = page_tasks(value_kb);
+        let mut job = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, page);
+        // The worst pattern: every other task of the whole job.
+        for i in (0..MOST_TASKS).step_by(2) {
+            job.finish(i);
+        }
+        let (mut largest, mut writes) = (0, 0);
+        let mut later = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, 999);
+        while !job.clean() {
+            let (conds, ops, pages) = job.progress_ops(&Label::from("c0"), 7);
+            assert!(ops.len() <= 7 && conds.len() == ops.len() + 1);
+            for (op, page) in ops.into_iter().zip(pages) {
+                let Op::Set { value, .. } = op else {
+                    panic!("only sets")
+                };
+                largest = largest.max(value.to_string().len());
+                writes += 1;
+                let rec = serde_json::from_value(value).expect("a page");
+                later.recall(page, Stamp(writes), &rec);
+            }
+        }
+        assert!((largest as f64) < value_kb * 1024.0, "{largest}");
+        assert_eq!(later.done, job.done, "nothing is lost between the pages");
+    }
+}
+
+#[test]
+fn an_ended_job_is_moved_in_one_transaction() {
+    let mut job = Job::new(&rec("j-1", 2, Term(1)), Stamp(1), 0, 512);
+    job.finish(0);
+    assert!(job.finish(1) && !job.finish(1));
+    job.page_changed(0, Stamp(5));
+    assert!(job.all_done() && job.wants_write(Micros(1)));
+    let (conds, ops) = job.end_ops(3);
+    assert_eq!(ops[0], store::delete("r/jobs/j-1".into()));
+    assert!(matches!(&ops[1], Op::Set { key, .. } if key == "ended/j-1"));
+    assert_eq!(ops[2], store::delete("r/done/j-1/0000".into()));
+    assert_eq!(conds[0], cond("r/jobs/j-1".into(), Stamp(1)));
+    assert_eq!(job.end_ops(2).1.len(), 2, "a page left over is litter");
+}
+#[test]
+fn the_operators_choice_narrows_what_a_job_allows_and_orders_it() {
+    let rec = |d: JobDesc| JobRec {
+        desc: d,
+        at: Micros::ZERO,
+        born: Term(1),
+    };
+    let job = |spot: bool, choice: JobChoice| {
+        let mut d = desc("j-1", 4);
+        d.spot = spot;
+        d.due_s = Some(60.0);
+        let mut job = Job::new(&rec(d), Stamp(1), 0, 64);
+        job.choose(choice);
+        job
+    };
+    let normal = JobChoice::default();
+    assert!(job(true, normal).desc.spot);
+    let no_spot = JobChoice {
+        spot: false,
+        ..normal
+    };
+    assert!(!job(true, no_spot).desc.spot);
+    assert!(!job(false, normal).desc.spot, "never widened");
+    let heavy = JobChoice {
+        weight: 4.0,
+        ..normal
+    };
+    let now = Micros::from_secs(1.0);
+    assert!(job(true, heavy).urgency(now) < job(true, normal).urgency(now));
+}
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -122,30 +122,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn frames_round_trip_and_other_versions_are_skipped() {
-        let news = News {
-            from: "c0".into(),
-            incarnation: Stamp(3),
-            store_ok: true,
-            hears_workers: true,
-            blocks: vec![BlockNews {
-                at: Micros(0),
-                block: BlockId(1),
-                term: Term(4),
-                needs: vec![],
-                dead: vec!["m-1".into()],
-            }],
-        };
-        let frame = encode(&news).expect("encodes");
-        assert_eq!(decode(&frame), Some(news));
-        let mut other = frame.to_vec();
-        other[0] = 9;
-        assert_eq!(decode(&other), None);
-        assert_eq!(decode(&frame[..5]), None);
-        assert_eq!(decode(b""), None);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/workers/tests.rs
@@ -0,0 +1,176 @@
+use super::*;
+use crate::jobs::tests::desc;
+
+pub fn report(
+    machine: &str,
+    shift: u64,
+    tally: u64,
+    baton: Token,
+    hands: &[(&str, u64, &str, &str)],
+) -> Report {
+    let hands: Vec<_> = hands
+        .iter()
+        .map(|(hand, attempt, standing, cause)| {
+            serde_json::json!({"hand": hand, "try": attempt, "standing": standing,
+                "cause": if cause.is_empty() { serde_json::Value::Null } else { (*cause).into() }})
+        })
+        .collect();
+    serde_json::from_value(serde_json::json!({
+        "rig": machine, "addr": "10.1.0.1:9000", "build": "big", "yard": "x", "loaners": false,
+        "shift": shift, "tally": tally, "baton": baton, "warningS": null, "hands": hands
+    }))
+    .expect("well formed")
+}
+
+fn machine() -> Machine {
+    Machine::new(
+        Micros(0),
+        Term(3),
+        "big",
+        "x",
+        false,
+        Res::new(16.0, 0.0, 64.0),
+        "",
+    )
+}
+
+fn launch(m: &mut Machine, task: &str, attempt: u64) -> Key {
+    let key = (TaskId::parse(task).expect("a task"), Attempt(attempt));
+    let t = Try::new(
+        Phase::Launching,
+        Micros(0),
+        Some((0, &Rc::new(desc("j-1", 4)))),
+    );
+    m.tries.insert(key.clone(), t);
+    key
+}
+
+fn launches(m: &mut Machine) -> usize {
+    m.orders(true)
+        .iter()
+        .filter(|o| matches!(o, Order::Launch { .. }))
+        .count()
+}
+
+#[test]
+fn a_launch_that_no_report_shows_stays_ours_and_is_repeated() {
+    let mut m = machine();
+    launch(&mut m, "j-1/0", 7);
+    assert_eq!(launches(&mut m), 1);
+    assert!(
+        m.observe(Micros(1), &report("m", 1, 1, m.token(), &[]))
+            .is_empty()
+    );
+    assert_eq!(launches(&mut m), 1);
+    assert_eq!(m.count_load().summed.cores, 2.0);
+}
+
+#[test]
+fn a_lost_direct_command_holds_back_reaping_until_it_is_fenced() {
+    let mut m = machine();
+    let key = launch(&mut m, "j-1/0", 7);
+    m.direct_out = true;
+    let old = m.token();
+    m.direct_lost();
+    assert!(m.token() > old);
+    m.observe(
+        Micros(1),
+        &report("m", 1, 1, old, &[("j-1/0", 7, "exited", "done")]),
+    );
+    m.tries.get_mut(&key).expect("kept").reap = true;
+    assert_eq!(
+        m.orders(true),
+        vec![],
+        "the late launch would run it again after a reap"
+    );
+    m.observe(
+        Micros(2),
+        &report("m", 1, 2, m.token(), &[("j-1/0", 7, "exited", "done")]),
+    );
+    assert!(matches!(m.orders(true)[..], [Order::Reap { .. }]));
+}
+
+#[test]
+fn an_abandoned_launch_is_over_only_behind_its_fence() {
+    let mut m = machine();
+    let key = launch(&mut m, "j-1/0", 7);
+    let old = m.token();
+    m.stop(0.0, |_| true);
+    assert_eq!(launches(&mut m), 0);
+    assert!(
+        m.observe(Micros(1), &report("m", 1, 1, old, &[]))
+            .is_empty()
+    );
+    let events = m.observe(Micros(2), &report("m", 1, 2, m.token(), &[]));
+    assert_eq!(events, vec![Event::Gone(key)]);
+}
+
+#[test]
+fn an_abandoned_launch_that_began_is_halted() {
+    let mut m = machine();
+    launch(&mut m, "j-1/0", 7);
+    m.stop(0.0, |_| true);
+    m.observe(
+        Micros(1),
+        &report("m", 1, 1, Token(0), &[("j-1/0", 7, "running", "")]),
+    );
+    assert!(matches!(m.orders(true)[..], [Order::Halt { .. }]));
+}
+
+#[test]
+fn a_new_session_ends_all_of_the_old_one() {
+    let mut m = machine();
+    m.observe(Micros(0), &report("m", 1, 1, Token(0), &[]));
+    let key = launch(&mut m, "j-1/0", 7);
+    let events = m.observe(Micros(1), &report("m", 2, 9, Token(0), &[]));
+    assert_eq!(events, vec![Event::Gone(key)]);
+    assert!(
+        !m.newer(&report("m", 1, 50, Token(0), &[])),
+        "a late report of the old session"
+    );
+}
+
+#[test]
+fn an_unsettled_machine_gets_no_orders_until_it_has_seen_our_token() {
+    let mut m = machine();
+    m.unsettled = true;
+    launch(&mut m, "j-1/0", 7);
+    assert!(!m.shows_term(&report("m", 4, 1, Token::of(Term(2), 5), &[])));
+    assert!(m.orders(true).is_empty());
+    let r = report("m", 4, 2, Token::of(Term(3), 0), &[]);
+    assert!(m.shows_term(&r));
+    m.observe(Micros(2), &r);
+    assert!(!m.unsettled);
+}
+
+#[test]
+fn a_machine_that_never_heeds_an_answer_is_suspect_until_it_does() {
+    let mut m = machine();
+    let mut old = report("m", 1, 1, Token(0), &[]);
+    for n in 1..=UNHEEDED {
+        assert!(!m.suspect());
+        old.tally = u64::from(n);
+        m.answered(Micros(u64::from(n)), &old);
+    }
+    assert!(m.suspect(), "it never showed the token");
+    m.observe(Micros(9), &report("m", 1, 9, m.token(), &[]));
+    assert!(!m.suspect());
+    launch(&mut m, "j-1/0", 7);
+    for n in 10..=12 {
+        m.observe(Micros(n), &report("m", 1, n, m.token(), &[]));
+        assert!(!m.suspect());
+        m.orders(true);
+    }
+    assert!(m.suspect(), "nor carried out an order");
+}
+
+#[test]
+fn odd_reports_are_refused_or_change_nothing() {
+    assert!(serde_json::from_str::<Report>(r#"{"rig":"m"}"#).is_err());
+    let mut m = machine();
+    let events = m.observe(
+        Micros(1),
+        &report("m", 1, 1, Token(0), &[("nonsense", 1, "running", "")]),
+    );
+    assert!(events.is_empty() && m.tries.is_empty());
+}
