A late write of the leader puts no machine into two blocks

Cause, from reading: a write of shards that got no answer was made anew from the mirror, perhaps with another block for the same machine, and each write named only the shards that it changes. Carried out late, the first one put the machine into a second block, whose holder then waits for a machine that nobody answers. Now all such writes name the term's key, and after one without an answer a term is taken that nobody gets, before anything else is written.

Ruled out: hires and drops (their names never repeat), holders' own writes (they name the block's and the shard's revision). Test: a_late_write_of_machines_puts_none_into_two_blocks.

--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -24,6 +24,8 @@
     Machines {
         settled: Vec<String>,
     },
+    /// Makes an earlier write of machines fail, should it still be on its way.
+    Fence,
     Hire {
         name: String,
         hire: HireRec,
@@ -96,6 +98,8 @@
     /// Given up by a holder, for another block.
     moves: BTreeSet<MachineId>,
     writing: bool,
+    /// A write of machines had no answer: it may still be carried out.
+    unfenced: bool,
     /// The mirror must have caught up with this before the next write.
     wait_for: Stamp,
     /// Requests that lacked room lately.
@@ -177,7 +181,11 @@
         }
         self.ask_returns(now, &mut out);
         if !self.writing && seen >= self.wait_for {
-            out.extend(self.change_machines(mirror, leader, types, news));
+            if self.unfenced {
+                out.push(self.fence(mirror, leader));
+            } else {
+                out.extend(self.change_machines(mirror, leader, types, news));
+            }
         }
         self.ask_hires(now, mirror, leader, &mut out);
         self.rent(now, mirror, leader, types, news, &mut out);
@@ -307,6 +315,16 @@
         }
     }
 
+    /// Takes a term that nobody gets. Guards against a machine in two blocks: a write
+    /// without an answer that puts it into one could be carried out after the next one
+    /// has put it into another, since each names only the shards that it changes. All
+    /// of them name the term's key, so none is carried out after this.
+    fn fence(&mut self, mirror: &Mirror, leader: &Cond) -> Effect {
+        let (_, term_cond, term_op) = take_terms(mirror, 1);
+        self.writing = true;
+        Effect::Txn(Write::Fence, vec![leader.clone(), term_cond], vec![term_op])
+    }
+
     /// One write of the machines' shards: what was rented goes in, what is gone goes
     /// out, what was given up moves on. As much as a transaction takes; the rest
     /// follows in the next, and a crash in between loses nothing: a hire's record
@@ -387,7 +405,7 @@
             new_term = true;
             tracing::info!(machine = %id, from = %at.0, %to, "moved");
         }
-        let mut conds = vec![leader.clone()];
+        let mut conds = vec![leader.clone(), term_cond];
         for (at, rec) in draft.shards {
             let key = keys::machines(at.0, at.1);
             conds.push(cond(key.clone(), mirror.shard_stamp(at)));
@@ -397,7 +415,6 @@
             return None;
         }
         if new_term {
-            conds.push(term_cond);
             ops.push(term_op);
         }
         self.writing = true;
@@ -679,12 +696,24 @@
     pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
         match write {
             Write::Machines { settled } => {
+                self.writing = false;
+                match reply {
+                    Reply::Committed(stamp) => {
+                        self.wait_for = *stamp;
+                        for name in settled {
+                            self.hires.remove(&name);
+                        }
+                    }
+                    // Surely not done, and it never will be.
+                    Reply::Conflict(_) | Reply::Refused => {}
+                    _ => self.unfenced = true,
+                }
+            }
+            Write::Fence => {
                 self.writing = false;
                 if let Reply::Committed(stamp) = reply {
+                    self.unfenced = false;
                     self.wait_for = *stamp;
-                    for name in settled {
-                        self.hires.remove(&name);
-                    }
                 }
             }
             Write::Hire { name, .. } => {
