--- a/src/api/desk.rs
+++ b/src/api/desk.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Micros;
 use crate::ids::{JobId, Stamp};
-use crate::jobs::{EndedRec, Standing};
+use crate::jobs::{EndedRec, Footprint, Standing};
 use crate::store::Reply;
 use crate::store::mirror::Mirror;
 use std::collections::{BTreeMap, VecDeque};
@@ -21,6 +21,7 @@
         stamp: Stamp,
         standing: Standing,
         tasks: u32,
+        footprint: Footprint,
         done: u32,
         running: u32,
     },
@@ -150,6 +151,7 @@
             Standing::Pending
         },
         tasks: rec.desc.tasks,
+        footprint: rec.desc.footprint(),
         done,
         running,
     })
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -3,9 +3,9 @@
 pub mod desk;
 mod gate;
 
-use crate::clock::time_of_day;
+use crate::clock::{Steady, time_of_day};
 use crate::controller::core::{Answer, View};
-use crate::controller::{Arrived, Asked, Question};
+use crate::controller::{Arrived, Asked, Cancelled, Question};
 use crate::ids::{JobId, Stamp};
 use crate::jobs::{EndedRec, JobDesc, JobRec, Refusal, Standing};
 use crate::settings::Settings;
@@ -28,13 +28,21 @@
 /// Times that a write is tried again after someone else's change.
 const TRIES: usize = 4;
 
+/// Where the users' and workers' side learns from and speaks to.
+#[derive(Clone)]
+pub struct Ports {
+    pub view: watch::Receiver<Arc<View>>,
+    pub questions: mpsc::Sender<Question>,
+    pub reports: mpsc::Sender<Arrived>,
+    pub asks: mpsc::Sender<Asked>,
+    pub cancels: mpsc::Sender<Cancelled>,
+}
+
 #[derive(Clone)]
 struct Api {
     settings: Arc<Settings>,
-    view: watch::Receiver<Arc<View>>,
-    questions: mpsc::Sender<Question>,
-    reports: mpsc::Sender<Arrived>,
-    asks: mpsc::Sender<Asked>,
+    clock: Steady,
+    ports: Ports,
 }
 
 /// What a user is told.
@@ -92,6 +100,7 @@
         let (answer, got) = oneshot::channel();
         // A full queue refuses at once: the user is told when to come back.
         if self
+            .ports
             .questions
             .try_send(Question { request, answer })
             .is_err()
@@ -109,7 +118,7 @@
     async fn find(&self, id: &JobId) -> Found {
         let (answer, got) = oneshot::channel();
         let id = id.clone();
-        if self.asks.try_send(Asked { id, answer }).is_err() {
+        if self.ports.asks.try_send(Asked { id, answer }).is_err() {
             return Found::Unreadable;
         }
         match tokio::time::timeout(Duration::from_millis(1_900), got).await {
@@ -124,21 +133,18 @@
             Err(refusal) => return refused(refusal),
         };
         for _ in 0..TRIES {
-            let view = self.view.borrow().clone();
+            let view = self.ports.view.borrow().clone();
             let Some(types) = &view.types else {
-                return Told::Later("machine types are not known yet");
-            };
-            let Some(team) = self.settings.team(&job.team) else {
-                return refused(Refusal::NeverRuns(format!("unknown team {}", job.team)));
+                let told = Told::Later("machine types are not known yet");
+                return self.unless_known(&job.id, told).await;
             };
             if let Err(refusal) = job.admissible(&self.settings, types) {
-                // It may have been accepted before, when types were others.
-                return match self.find(&job.id).await {
-                    Found::Nothing => refused(refusal),
-                    found => known(found, &job.id),
-                };
+                return self.unless_known(&job.id, refused(refusal)).await;
             }
-            let (block, grant, born) = view.teams[team];
+            let team = self.settings.team(&job.team);
+            let Some((block, grant, born)) = team.and_then(|t| view.teams.get(t)).copied() else {
+                return self.unless_known(&job.id, NO_STORE).await;
+            };
             let rec = JobRec {
                 desc: job.clone(),
                 at: time_of_day(),
@@ -170,10 +176,21 @@
                 }
                 // The block changed hands; the news of it is on its way here.
                 Reply::Conflict(_) => tokio::time::sleep(Duration::from_millis(150)).await,
-                _ => return NO_STORE,
+                _ => return self.unless_known(&job.id, NO_STORE).await,
             }
         }
-        Told::Later("the team's block is changing hands")
+        let told = Told::Later("the team's block is changing hands");
+        self.unless_known(&job.id, told).await
+    }
+
+    /// The answer to a submission that can't be taken. Guards against a refusal of what
+    /// was accepted before, by whichever node and however the types, the team's block or
+    /// the store are now: a repeat is told how the job stands.
+    async fn unless_known(&self, id: &JobId, told: Told) -> Told {
+        match self.find(id).await {
+            Found::Nothing => told,
+            found => known(found, id),
+        }
     }
 
     async fn status(&self, id: &str) -> Told {
@@ -194,8 +211,13 @@
             return Told::No(404, "no such job".into());
         }
         for _ in 0..TRIES {
-            let (stamp, tasks) = match self.find(&id).await {
-                Found::Live { stamp, tasks, .. } => (stamp, tasks),
+            let (stamp, tasks, footprint) = match self.find(&id).await {
+                Found::Live {
+                    stamp,
+                    tasks,
+                    footprint,
+                    ..
+                } => (stamp, tasks, footprint),
                 Found::Nothing => return Told::No(404, "no such job".into()),
                 Found::Unreadable => return NO_STORE,
                 found => return known(found, &id),
@@ -203,6 +225,7 @@
             let ended = EndedRec {
                 standing: Standing::Cancelled,
                 tasks,
+                footprint: Some(footprint),
             };
             let conds = vec![
                 cond(keys::job(&id), stamp),
@@ -213,7 +236,10 @@
                 store::set(keys::ended(&id), &ended),
             ];
             match self.ask(Ask::Txn { conds, ops }).await {
-                Reply::Committed(_) => {
+                Reply::Committed(revision) => {
+                    let job = id.clone();
+                    // Full: whoever holds its block reads it from the store.
+                    let _ = self.ports.cancels.try_send(Cancelled { job, revision });
                     return Told::Job {
                         status: 200,
                         id,
@@ -234,11 +260,20 @@
             return (400, json!({"error": "malformed report"}));
         };
         let (answer, got) = oneshot::channel();
-        if self.reports.try_send(Arrived { report, answer }).is_err() {
+        if self
+            .ports
+            .reports
+            .try_send(Arrived { report, answer })
+            .is_err()
+        {
             return (503, json!({"error": "busy"}));
         }
         match tokio::time::timeout(Duration::from_millis(3_000), got).await {
-            Ok(Ok(Answer::Orders(orders))) => (200, json!(orders)),
+            // The last moment at which we can tell: an answer that stood still on its
+            // way must not leave after the lease under which it was decided.
+            Ok(Ok(Answer::Orders(orders))) if self.clock.now() < orders.until => {
+                (200, json!(orders))
+            }
             Ok(Ok(Answer::Elsewhere(label))) => (421, json!({"answerTo": label})),
             _ => (503, json!({"error": "not entitled to answer"})),
         }
@@ -345,7 +380,7 @@
 #[handler]
 impl Up {
     async fn handle(&self, res: &mut Response) {
-        let healthy = self.0.view.borrow().healthy;
+        let healthy = self.0.ports.view.borrow().healthy;
         send(
             res,
             if healthy { 200 } else { 503 },
@@ -358,19 +393,15 @@
 pub async fn serve(
     settings: Arc<Settings>,
     sockets: &Sockets,
-    view: watch::Receiver<Arc<View>>,
-    questions: mpsc::Sender<Question>,
-    reports: mpsc::Sender<Arrived>,
-    asks: mpsc::Sender<Asked>,
+    clock: Steady,
+    ports: Ports,
 ) -> Result<(), String> {
     let bind = settings.bind;
     let gate = Gate::new(&settings, sockets);
     let api = Api {
         settings,
-        view,
-        questions,
-        reports,
-        asks,
+        clock,
+        ports,
     };
     let router = Router::new()
         .push(Router::with_path("v1/jobs").post(Submit(api.clone())))
@@ -389,3 +420,6 @@
     );
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -44,6 +44,8 @@
 pub enum Effect {
     Txn(Write, Vec<Cond>, Vec<Op>),
     Do(MachineId, String, Direct),
+    /// How did this job end, and what did it take?
+    ReadEnded(JobId),
 }
 
 pub struct Holder {
@@ -68,6 +70,8 @@
     counter: u64,
     /// Ends that are not stored yet, by job: reaped once they are.
     unreaped: BTreeMap<JobId, Vec<(MachineId, Key)>>,
+    /// Jobs that machines show and that are not known here: over, most likely.
+    strangers: BTreeMap<JobId, Stranger>,
     /// Jobs that may have something to be stored.
     dirty: BTreeSet<JobId>,
     /// Progress gives way to all other changes.
@@ -82,6 +86,8 @@
     /// Machines that freed room is held on.
     held: Vec<MachineId>,
     writing_machines: bool,
+    /// Being handed back: no order leaves from the moment at which that is asked for.
+    resigning: Option<Resigning>,
     /// Machines may have been heard that are not recorded as used.
     to_open: bool,
     /// Something changed that a pass over the block should look at.
@@ -94,12 +100,33 @@
     /// machines, nor about our being cut off from them.
     listening: Micros,
     last_heard: Micros,
+    /// When a machine last reported by itself.
+    last_report: Micros,
     last_give_up: Micros,
     last_open: Micros,
     /// Machines that were compared with a class, for counting what passes cost.
     pub looked_at: usize,
 }
 
+/// A job that is not known here, although a machine has an attempt of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stranger {
+    /// Its record is to be read, from then on.
+    Read(Micros),
+    Reading,
+    /// None: the record does not say.
+    Known(Option<(usize, Res)>),
+}
+
+/// A hand-back that is not settled yet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Resigning {
+    /// When it was last asked for; none: it had no answer, and is asked for again.
+    out: Option<Micros>,
+    /// One of the requests had no answer: it may still be carried out.
+    unsure: bool,
+}
+
 const NEVER_HEARD: Micros = Micros::from_millis(180_000);
 /// What does not depend on messages is looked at this often.
 const LOOK: Micros = Micros::from_millis(500);
@@ -135,6 +162,7 @@
             rebuilt: now,
             counter: 0,
             unreaped: BTreeMap::new(),
+            strangers: BTreeMap::new(),
             dirty: BTreeSet::new(),
             progress: Bucket::new(rate / policy.blocks(settings) as f64, now),
             errands: BTreeSet::new(),
@@ -143,6 +171,7 @@
             picky: Picky::default(),
             held: Vec::new(),
             writing_machines: false,
+            resigning: None,
             to_open: true,
             stir: true,
             next_pass: now,
@@ -151,6 +180,7 @@
             last_tick: now,
             listening: now,
             last_heard: now,
+            last_report: now,
             last_give_up: Micros::ZERO,
             last_open: Micros::ZERO,
             looked_at: 0,
@@ -172,6 +202,29 @@
         }
     }
 
+    /// The store was read from the start while we held the block all along.
+    pub fn reload(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
+        let known = self.machines.values().map(|m| m.shard);
+        let shards: BTreeSet<u32> = known
+            .chain(mirror.shards(self.block).map(|(n, ..)| n))
+            .collect();
+        for n in shards {
+            self.sync_shard(now, n, mirror, types, false);
+        }
+        let jobs: BTreeSet<JobId> = self
+            .jobs
+            .keys()
+            .chain(mirror.jobs.keys())
+            .cloned()
+            .collect();
+        for id in jobs {
+            self.sync_job(&id, mirror);
+        }
+        for (id, page) in mirror.pages.keys() {
+            self.sync_page(id, *page, mirror);
+        }
+    }
+
     /// A shard of the block's machines changed in the store.
     pub fn sync_shard(
         &mut self,
@@ -277,6 +330,15 @@
         }
     }
 
+    /// The store has cancelled a job: nothing more of it starts.
+    pub fn cancelled(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id).filter(|j| !j.ended) {
+            job.ended = true;
+            self.stop_job(id);
+            self.stir = true;
+        }
+    }
+
     /// Stops all that a cancelled job has, or may have, on machines.
     fn stop_job(&mut self, id: &JobId) {
         for (at, m) in &mut self.machines {
@@ -473,7 +535,7 @@
     /// and drained ones that failed.
     pub fn dead(&self, now: Micros) -> Vec<MachineId> {
         // If none is heard, the fault is ours and not theirs.
-        if self.machines.len() > 1 && now.since(self.last_heard) > Micros::from_millis(4_000) {
+        if self.machines.len() > 1 && now.since(self.last_report) > Micros::from_millis(4_000) {
             return Vec::new();
         }
         // Guards against a panic after a standstill of our own: each machine has its
@@ -489,7 +551,17 @@
             None if m.unsettled => now.since(m.added.max(listening)) > unsettled,
             None => now.since(m.added) > NEVER_HEARD,
         };
-        let failed = |m: &Machine| m.draining && m.tries.values().all(|t| t.phase == Phase::Exited);
+        // Alive, but its reports reach nobody: it keeps what it has until its lease ends,
+        // and is replaced as soon as it has nothing, or nothing to come of it.
+        let lease = Micros::from_secs(self.settings.platform.workers.lease_s);
+        let idle = |m: &Machine| m.tries.values().all(|t| t.phase == Phase::Exited);
+        let mute = |m: &Machine| {
+            let since = m.last_report.unwrap_or(m.added).max(m.added).max(listening);
+            m.last_heard.is_some()
+                && now.since(since) > silence
+                && (idle(m) && m.quiet() || now.since(m.lease_from()) > lease)
+        };
+        let failed = |m: &Machine| m.draining && idle(m);
         // Should so many be silent at once, the first to go show whether it is them.
         let most = 2 + self.machines.len() / 10;
         // And if so many do not hear us, it is we who are not heard.
@@ -497,7 +569,7 @@
         let dead = self
             .machines
             .iter()
-            .filter(|(_, m)| silent(m) || suspects && m.suspect() || failed(m));
+            .filter(|(_, m)| silent(m) || mute(m) || suspects && m.suspect() || failed(m));
         dead.map(|(id, _)| id.clone()).take(most).collect()
     }
 
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -1,6 +1,6 @@
 //! What the holder records: jobs' ends and progress, machines in use or given up.
 
-use super::{Effect, Freed, Holder, MachinesRec, Write};
+use super::{Effect, Freed, Holder, MachinesRec, Resigning, Write};
 use crate::blocks::HolderRec;
 use crate::clock::Micros;
 use crate::ids::{JobId, MachineId, Stamp};
@@ -16,6 +16,8 @@
 const AGAIN: Micros = Micros::from_millis(400);
 const OPEN_GAP: Micros = Micros::from_millis(700);
 const LEAST_CHARGED: Micros = Micros::from_millis(60_000);
+/// A hand-back is asked for again after this.
+const RESIGN_AGAIN: Micros = Micros::from_millis(6_000);
 const GIVE_UP_GAP: Micros = Micros::from_millis(500);
 
 impl Holder {
@@ -170,10 +172,7 @@
             // A job's record never changes while the job lives: it was cancelled, or
             // ended by our own write that had no answer. The watch will take it out;
             // until then nothing of it starts.
-            Reply::Conflict(failed) if failed.contains(&keys::job(id)) => {
-                job.ended = true;
-                self.stop_job(id);
-            }
+            Reply::Conflict(failed) if failed.contains(&keys::job(id)) => self.cancelled(id),
             // Not carried out, or perhaps late: either way the stamps decide, and the
             // watch tells them.
             _ => {
@@ -319,8 +318,41 @@
         Some(effect)
     }
 
-    /// The write by which this holder hands the whole block back.
-    pub fn resignation(&self) -> (Vec<Cond>, Vec<Op>) {
+    /// The write by which this holder hands the whole block back, if it is not out.
+    /// From now on no order leaves. Guards against answers after the next grant: the
+    /// next holder counts a silent worker's lease from there, and our reading of the
+    /// grant may come much later.
+    pub fn resign(&mut self, now: Micros) -> Option<(Vec<Cond>, Vec<Op>)> {
+        let out = self.resigning.and_then(|r| r.out);
+        if out.is_some_and(|at| now.since(at) < RESIGN_AGAIN) {
+            return None;
+        }
+        self.resigning = Some(Resigning {
+            out: Some(now),
+            // What was out for so long may still be carried out.
+            unsure: self.resigning.is_some_and(|r| r.unsure || r.out.is_some()),
+        });
+        Some(self.resignation())
+    }
+
+    /// Asked to be handed back without an answer: it has to be asked again.
+    pub fn resigns(&self) -> bool {
+        self.resigning.is_some()
+    }
+
+    pub fn resigned(&mut self, reply: &Reply) {
+        let Some(r) = &mut self.resigning else { return };
+        match reply {
+            // Somebody else's already, or soon: the watch will take the block out.
+            Reply::Committed(_) | Reply::Conflict(_) => {}
+            // Surely not carried out, and nothing before it can be: it stays ours.
+            Reply::Refused if !r.unsure => self.resigning = None,
+            Reply::Refused => r.out = None,
+            _ => (r.out, r.unsure) = (None, true),
+        }
+    }
+
+    fn resignation(&self) -> (Vec<Cond>, Vec<Op>) {
         let teams = self
             .teams
             .iter()
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -1,14 +1,31 @@
 //! What machines report, and what follows from it.
 
-use super::Holder;
+use super::{Effect, Holder, Stranger};
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::ids::MachineId;
+use crate::ids::{JobId, MachineId};
+use crate::jobs::EndedRec;
+use crate::store::Reply;
 use crate::workers::{Cause, Event, Key, Leaving, Orders, Phase, Report, Try};
+use std::collections::btree_map::Entry;
+
+/// Records of ended jobs that are read at once.
+const MOST_READS: usize = 4;
+const READ_AGAIN: Micros = Micros::from_millis(500);
 
 impl Holder {
     /// A worker's report. None: it gets no valid answer from us.
-    pub fn check_in(&mut self, now: Micros, day: Micros, fleet: Res, r: &Report) -> Option<Orders> {
+    pub fn check_in(
+        &mut self,
+        now: Micros,
+        day: Micros,
+        fleet: Res,
+        until: Micros,
+        r: &Report,
+    ) -> Option<Orders> {
+        if self.resigns() {
+            return None;
+        }
         let counts = self.observe(now, r)?;
         if counts {
             self.refill(now, day, fleet, &r.machine);
@@ -20,6 +37,7 @@
             // What does not count gets the token and nothing else: the next report
             // will show it.
             orders: if counts { m.orders(true) } else { Vec::new() },
+            until,
         })
     }
 
@@ -50,6 +68,8 @@
             return Some(false);
         }
         self.to_open |= !m.used;
+        m.last_report = Some(now);
+        self.last_report = now;
         self.take_in(now, r);
         Some(true)
     }
@@ -144,6 +164,18 @@
         let index = key.0.index;
         let mut t = Try::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
         t.cause = cause;
+        if t.takes.is_none() && phase != Phase::Exited {
+            match self.strangers.entry(key.0.job.clone()) {
+                Entry::Occupied(known) => {
+                    if let Stranger::Known(takes) = known.get() {
+                        t.takes = *takes;
+                    }
+                }
+                Entry::Vacant(new) => {
+                    new.insert(Stranger::Read(now));
+                }
+            }
+        }
         let mut ours = false;
         if let Some(job) = job {
             let free = index < job.desc.tasks
@@ -175,6 +207,46 @@
         }
     }
 
+    /// Reads of the records of jobs that machines show and that are not known here.
+    pub fn reads(&mut self, now: Micros) -> Vec<Effect> {
+        let due = self.strangers.iter_mut().filter_map(|(id, s)| match s {
+            Stranger::Read(at) if now >= *at => {
+                *s = Stranger::Reading;
+                Some(Effect::ReadEnded(id.clone()))
+            }
+            _ => None,
+        });
+        due.take(MOST_READS).collect()
+    }
+
+    /// The record of an ended job was read, or not.
+    pub fn read_ended(&mut self, now: Micros, id: &JobId, reply: &Reply) {
+        let takes = match reply {
+            Reply::Found(row) => serde_json::from_value::<EndedRec>(row.value.clone())
+                .ok()
+                .and_then(|rec| rec.footprint)
+                .and_then(|f| Some((self.settings.team(&f.team)?, f.request))),
+            Reply::Missing => None,
+            _ => {
+                let again = Stranger::Read(now + READ_AGAIN);
+                self.strangers.insert(id.clone(), again);
+                return;
+            }
+        };
+        self.strangers.insert(id.clone(), Stranger::Known(takes));
+        let mut on: Vec<MachineId> = Vec::new();
+        for (at, m) in &mut self.machines {
+            for (_, t) in m.tries.iter_mut().filter(|(k, _)| k.0.job == *id) {
+                t.takes = t.takes.or(takes);
+                on.push(at.clone());
+            }
+        }
+        for at in on {
+            self.reweigh(&at);
+        }
+        self.stir = true;
+    }
+
     fn ended(&mut self, now: Micros, on: &MachineId, key: Key, cause: Cause) {
         let job = self.jobs.get_mut(&key.0.job);
         if cause == Cause::Done
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -24,7 +24,7 @@
 impl Holder {
     /// Decides over the whole block what to start, if anything changed.
     pub(super) fn decide(&mut self, now: Micros, day: Micros, fleet: Res) {
-        if !self.stir || now < self.next_pass {
+        if !self.stir || now < self.next_pass || self.resigns() {
             return;
         }
         self.stir = false;
@@ -144,6 +144,9 @@
     /// token to machines that have not seen it. A bounded number is out at a time.
     pub fn directs(&mut self, now: Micros) -> Vec<Effect> {
         let mut out = Vec::new();
+        if self.resigns() {
+            return out;
+        }
         let heard_within = self.heard_within();
         let mut done = Vec::new();
         for id in &self.errands {
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -14,14 +14,14 @@
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest, MachineType};
 use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
-use crate::mesh::{BlockNews, News};
+use crate::mesh::{BlockNews, Message, News};
 use crate::placement::Need;
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::mirror::{Mirror, Touched};
 use crate::store::{self, Change, Reply, Request, Row, Urgency, cond, keys};
 use crate::workers::{Direct, Orders, Report};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -38,6 +38,8 @@
     Resign(BlockId, Term),
     Holder(BlockId, Term, holder::Write),
     Ended(JobId),
+    /// A job that a holder does not know, but a machine of its block shows.
+    Stranger(BlockId, Term, JobId),
     Litter,
     Manager(Stamp, manager::Write),
 }
@@ -78,7 +80,13 @@
         request: CloudRequest,
         reply: CloudReply,
     },
-    News(News),
+    /// A peer's message.
+    Mesh(Message),
+    /// The store has confirmed to a user here that a job is cancelled.
+    Cancelled {
+        job: JobId,
+        revision: Stamp,
+    },
 }
 
 #[derive(Debug)]
@@ -124,7 +132,8 @@
         until: Micros,
     },
     Cloud(CloudRequest),
-    News(News),
+    /// To all peers.
+    Mesh(Message),
     View(Arc<View>),
 }
 
@@ -154,6 +163,8 @@
     types: Option<Types>,
     peers: BTreeMap<Label, (Micros, News)>,
     joined: BTreeMap<Label, (Stamp, Micros)>,
+    /// Cancelled at revisions that our reading has not reached.
+    cancelled: BTreeSet<(Stamp, JobId)>,
     /// When it was last seen that there is no leader.
     leaderless: Option<Micros>,
     leading_since: Option<Micros>,
@@ -179,6 +190,8 @@
 /// Without a reading of the store for so long, questions are refused at once.
 const STALE: Micros = Micros::from_millis(3_000);
 const SILENT_PEER: Micros = Micros::from_millis(5_000);
+/// Cancellations that are remembered until our reading has come so far.
+const MOST_CANCELLED: usize = 4_096;
 /// A single request of a kind that was never answered is given up after this.
 const OUT_FOR: Micros = Micros::from_millis(6_000);
 
@@ -204,6 +217,7 @@
             types: None,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
             leaderless: None,
             leading_since: None,
             out: BTreeMap::new(),
@@ -234,8 +248,17 @@
                 self.mirror.load(rows);
                 self.seen = Stamp(ledger);
                 self.read = sent;
-                self.held.clear();
+                // Guards against a picture made anew under the same term: its tokens
+                // and attempts would repeat, and copies of old reports would count.
+                let before: Vec<BlockId> = self.held.keys().copied().collect();
                 self.changed(now, &mut out);
+                let types = self.types.clone().unwrap_or_default();
+                for b in before {
+                    if let Some(h) = self.held.get_mut(&b) {
+                        h.reload(now, &self.mirror, &types);
+                    }
+                }
+                self.stop_cancelled();
                 let asked = self.desk.reading(sent, &self.mirror);
                 out.extend(asked.into_iter().map(desk_effect));
             }
@@ -266,14 +289,47 @@
                 }
             }
             Input::Cloud { request, reply } => self.cloud(now, request, reply, &mut out),
-            Input::News(news) => self.note(now, news),
+            Input::Mesh(message) => self.hear(now, message),
+            Input::Cancelled { job, revision } => {
+                self.cancelled(job.clone(), revision);
+                out.push(Effect::Mesh(Message::Cancelled { job, revision }));
+            }
         }
         out
     }
 
-    /// Takes a peer's news in.
-    pub fn note(&mut self, now: Micros, news: News) {
-        self.peers.insert(news.from.clone(), (now, news));
+    /// Takes a peer's message in.
+    pub fn hear(&mut self, now: Micros, message: Message) {
+        match message {
+            Message::News(news) => {
+                self.peers.insert(news.from.clone(), (now, news));
+            }
+            Message::Cancelled { job, revision } => self.cancelled(job, revision),
+        }
+    }
+
+    /// The store has cancelled a job: nothing more of it starts here, whether or not
+    /// our reading has come so far. Until it has, the job may still come to a block of
+    /// ours, so it is remembered.
+    fn cancelled(&mut self, job: JobId, revision: Stamp) {
+        if revision <= self.seen {
+            return;
+        }
+        self.cancelled.insert((revision, job));
+        while self.cancelled.len() > MOST_CANCELLED {
+            self.cancelled.pop_first();
+        }
+        self.stop_cancelled();
+    }
+
+    fn stop_cancelled(&mut self) {
+        let seen = self.seen;
+        self.cancelled.retain(|(revision, _)| *revision > seen);
+        for (_, job) in &self.cancelled {
+            for h in self.held.values_mut() {
+                h.cancelled(job);
+            }
+        }
     }
 
     /// Decisions and writes of the held blocks. Not after each message: what many
@@ -286,6 +342,7 @@
             let term = h.term;
             let mut effects = h.directs(now);
             effects.extend(h.writes(now));
+            effects.extend(h.reads(now));
             effects.extend(h.open(now, &self.mirror));
             out.extend(
                 effects
@@ -313,14 +370,15 @@
                 Answer::NotNow
             };
         }
-        if !self.acting(now) {
+        let until = self.member.acts_until(self.read);
+        if now >= until {
             return Answer::NotNow;
         }
         let fleet = self.fleet;
         let orders = self
             .held
             .get_mut(&b)
-            .and_then(|h| h.check_in(now, day, fleet, r));
+            .and_then(|h| h.check_in(now, day, fleet, until, r));
         orders.map_or(Answer::NotNow, Answer::Orders)
     }
 
@@ -367,6 +425,7 @@
                 h.sync_shard(now, *shard, &self.mirror, &types, false);
             }
         }
+        self.stop_cancelled();
     }
 
     /// After the mirror or our membership changed: what we hold, and the view.
@@ -583,11 +642,21 @@
             Tag::Types => {
                 self.out.remove("types");
             }
-            Tag::Sums | Tag::Resign(..) | Tag::Litter => {}
+            Tag::Resign(b, term) => {
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.resigned(reply);
+                }
+            }
+            Tag::Sums | Tag::Litter => {}
             Tag::Ended(id) => {
                 let asked = self.desk.ended(id, reply);
                 out.extend(asked.into_iter().map(desk_effect));
             }
+            Tag::Stranger(b, term, id) => {
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.read_ended(now, &id, reply);
+                }
+            }
             Tag::Holder(b, term, write) => {
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.stored(now, write, reply);
@@ -656,16 +725,20 @@
     }
 }
 
+fn read_ended(tag: Tag, id: &JobId) -> Effect {
+    Effect::Store {
+        tag,
+        request: Request::Get {
+            key: keys::ended(id),
+        },
+        urgency: Urgency::Prompt,
+    }
+}
+
 fn desk_effect(e: desk::Effect) -> Effect {
     match e {
         desk::Effect::Found(ticket, found) => Effect::Found { ticket, found },
-        desk::Effect::ReadEnded(id) => Effect::Store {
-            request: Request::Get {
-                key: keys::ended(&id),
-            },
-            tag: Tag::Ended(id),
-            urgency: Urgency::Prompt,
-        },
+        desk::Effect::ReadEnded(id) => read_ended(Tag::Ended(id.clone()), &id),
     }
 }
 
@@ -679,6 +752,7 @@
             direct,
             until,
         },
+        holder::Effect::ReadEnded(id) => read_ended(Tag::Stranger(block, term, id.clone()), &id),
         holder::Effect::Txn(write, conds, ops) => Effect::Store {
             // Where changes are short, progress waits for all the others.
             urgency: match write {
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -206,13 +206,13 @@
                 h.condemn(&n.dead);
             }
         }
-        out.push(Effect::News(News {
+        out.push(Effect::Mesh(Message::News(News {
             from: self.settings.label.clone(),
             incarnation: self.member.incarnation().unwrap_or_default(),
             store_ok: self.store_ok(now),
             hears_workers: now >= self.deaf_until,
             blocks,
-        }));
+        })));
         let all = self.all_news(now);
         let until = self.member.acts_until(self.read);
         for (b, h) in &mut self.held {
@@ -249,14 +249,17 @@
         // nor any peer: that others are in, the store says, too.
         let alone = self.mirror.members.len() < 2;
         if !alone && self.held.values().any(|h| h.deaf(now)) {
-            tracing::info!("none of our machines is heard: handing our blocks back");
+            if now >= self.deaf_until {
+                tracing::info!("none of our machines is heard: handing our blocks back");
+            }
             self.deaf_until = now + Micros::from_millis(30_000);
-            for h in self.held.values() {
-                let (conds, ops) = h.resignation();
-                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+            if self.claim(now, "hand back") {
+                self.hand_back(now, |_| true, out);
             }
             return;
         }
+        // What was asked for without an answer must be settled one way or the other.
+        self.hand_back(now, Holder::resigns, out);
         let others = self
             .mirror
             .members
@@ -284,9 +287,16 @@
             && now.since(self.last_resign) > Micros::from_millis(10_000)
         {
             self.last_resign = now;
-            if let Some(h) = self.held.values().next_back() {
-                tracing::info!(block = %h.block, "another member holds fewer blocks: handing one over");
-                let (conds, ops) = h.resignation();
+            if let Some(last) = self.held.keys().next_back().copied() {
+                tracing::info!(block = %last, "another member holds fewer blocks: handing one over");
+                self.hand_back(now, |h| h.block == last, out);
+            }
+        }
+    }
+
+    fn hand_back(&mut self, now: Micros, which: impl Fn(&Holder) -> bool, out: &mut Vec<Effect>) {
+        for h in self.held.values_mut().filter(|h| which(h)) {
+            if let Some((conds, ops)) = h.resign(now) {
                 out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
             }
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,7 +8,7 @@
 use crate::api::{self, desk::Found};
 use crate::clock::{Micros, Steady, time_of_day};
 use crate::fleet::client::Cloud;
-use crate::ids::JobId;
+use crate::ids::{JobId, Stamp};
 use crate::mesh;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -38,6 +38,12 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// A cancellation that the store has confirmed.
+pub struct Cancelled {
+    pub job: JobId,
+    pub revision: Stamp,
+}
+
 /// A user's question how a job stands.
 pub struct Asked {
     pub id: JobId,
@@ -82,24 +88,34 @@
     let (reports, arrivals) = mpsc::channel::<Arrived>(1024);
     let (asks, asking) = mpsc::channel::<Asked>(1024);
     let (questions, asked) = mpsc::channel::<Question>(256);
+    let (cancels, cancelled) = mpsc::channel::<Cancelled>(256);
     let (view_out, view) = watch::channel(Arc::new(View::default()));
 
     let listener = tokio::net::TcpListener::bind(settings.mesh_addr)
         .await
         .map_err(|e| refused(&settings.mesh_addr, &e))?;
-    let (news_in, news) = mpsc::channel(64);
-    spawn_local(mesh::listen(listener, sockets.peers, news_in));
-    spawn_local(forward_news(news, inputs.clone()));
+    let (messages_in, messages) = mpsc::channel(64);
+    spawn_local(mesh::listen(listener, sockets.peers, messages_in));
+    spawn_local(forward(messages, inputs.clone(), Input::Mesh));
+    let as_input = |Cancelled { job, revision }| Input::Cancelled { job, revision };
+    spawn_local(forward(cancelled, inputs.clone(), as_input));
     let mut peers = Vec::new();
     for seed in &settings.seeds {
-        let (frames, queue) = mpsc::channel::<Bytes>(4);
+        let (frames, queue) = mpsc::channel::<Bytes>(32);
         spawn_local(mesh::dial(seed.addr, queue));
         peers.push(frames);
     }
     spawn_local(watch_store(store.clone(), clock, inputs.clone()));
     spawn_local(answer_questions(store.clone(), asked));
     let shared = Arc::new(settings.clone());
-    api::serve(shared, &sockets, view, questions, reports, asks)
+    let ports = api::Ports {
+        view,
+        questions,
+        reports,
+        asks,
+        cancels,
+    };
+    api::serve(shared, &sockets, clock, ports)
         .await
         .map_err(|e| refused(&settings.bind, &e))?;
     tracing::info!(label = %settings.label, bind = %settings.bind, lease_s = settings.lease().as_secs(), "started");
@@ -123,9 +139,14 @@
     Ok(())
 }
 
-async fn forward_news(mut news: mpsc::Receiver<mesh::News>, inputs: mpsc::Sender<Input>) {
-    while let Some(n) = news.recv().await {
-        if inputs.send(Input::News(n)).await.is_err() {
+/// Hands on what comes from elsewhere as the core's input.
+async fn forward<T>(
+    mut from: mpsc::Receiver<T>,
+    inputs: mpsc::Sender<Input>,
+    input: impl Fn(T) -> Input,
+) {
+    while let Some(item) = from.recv().await {
+        if inputs.send(input(item)).await.is_err() {
             return;
         }
     }
@@ -294,10 +315,11 @@
                     let _ = inputs.send(Input::Cloud { request, reply }).await;
                 });
             }
-            Effect::News(news) => {
-                if let Some(frame) = mesh::encode(&news) {
+            Effect::Mesh(message) => {
+                if let Some(frame) = mesh::encode(&message) {
                     for peer in &self.peers {
-                        // A peer that does not take it will get the next one.
+                        // A peer that does not take it gets the next one, and its watch
+                        // tells it what it has to know.
                         let _ = peer.try_send(frame.clone());
                     }
                 }
--- a/src/controller/tests/fleet.rs
+++ b/src/controller/tests/fleet.rs
@@ -72,7 +72,7 @@
     assert_eq!(w.all_running(), 4);
 }
 
-fn two_blocks(nodes: usize, machines: usize) -> World {
+pub fn two_blocks(nodes: usize, machines: usize) -> World {
     World::with(nodes, machines, |v| {
         for team in v["settings"]["teams"].as_array_mut().expect("teams") {
             team["cpus"] = 4_000.0.into();
--- /dev/null
+++ b/src/controller/tests/meetings.rs
@@ -0,0 +1,524 @@
+//! Two troubles that meet, as the operators have seen them break rules. The steady
+//! checks of the world go on in all of them.
+
+use super::fleet::two_blocks;
+use super::started;
+use super::world::{World, secs};
+use crate::blocks::MachinesRec;
+use crate::controller::core::{Answer, Input};
+use crate::ids::{MachineId, Stamp};
+use crate::jobs::Standing;
+use crate::jobs::tests::desc;
+use crate::mesh::Message;
+use std::collections::BTreeMap;
+
+/// The store refuses the holder alone, another node confirms cancellations, and then
+/// the store is out for all, for longer than `cancel_s`, while workers report on.
+fn gap(hang_s: f64) {
+    let mut w = started(3, 3);
+    w.submit(&desc("j-1", 8));
+    let mut blue = desc("j-2", 4);
+    blue.team = "blue".into();
+    w.submit(&blue);
+    w.pass(4.0);
+    let holder = w.holder();
+    w.nodes[holder].refused = true;
+    w.pass(1.2);
+    w.cancel("j-1");
+    for m in &mut w.workers {
+        m.hung = hang_s > 0.0;
+    }
+    w.pass(0.8);
+    w.store.down = true;
+    w.pass(12.0);
+    w.nodes[holder].refused = false;
+    w.pass((hang_s - 12.8).max(0.0));
+    for m in &mut w.workers {
+        m.hung = false;
+    }
+    let cancel_s = w.cancel_s();
+    w.pass(cancel_s + 10.0 - hang_s);
+    assert_eq!(w.all_running(), 0);
+    assert_eq!(w.holder(), holder, "its lease has its full time again");
+    w.store.down = false;
+    w.pass(8.0);
+    assert!(!w.workers.iter().any(|m| m.running("j-1/").next().is_some()));
+    assert_eq!(w.all_running(), 4, "and the others go on");
+}
+
+#[test]
+fn cancelled_in_a_refusal_of_the_holder_before_an_outage_of_all() {
+    gap(0.0);
+}
+
+#[test]
+fn cancelled_in_a_refusal_while_machines_hang_before_an_outage_of_all() {
+    // Almost a lease: they go on with what they had.
+    gap(28.0);
+}
+
+#[test]
+fn a_cancellation_reaches_a_holder_without_the_store_over_the_mesh() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let holder = w.holder();
+    w.nodes[holder].refused = true;
+    w.cancel("j-1");
+    let (job, revision) = ("j-1".into(), Stamp(w.store.ledger));
+    w.feed((holder + 1) % 3, Input::Cancelled { job, revision });
+    w.pass(4.0);
+    assert_eq!(w.all_running(), 0);
+    // A job that comes to it after the word of its end: its reading lags behind.
+    w.nodes[holder].refused = false;
+    let (job, revision) = ("j-2".into(), Stamp(w.store.ledger + 100));
+    w.feed(holder, Input::Mesh(Message::Cancelled { job, revision }));
+    w.submit(&desc("j-2", 1));
+    w.submit(&desc("j-3", 1));
+    w.pass(4.0);
+    assert!(!w.started_ever("j-2"));
+    assert!(w.started_ever("j-3"));
+    // An old word is none: the reading has come further.
+    let (job, revision) = ("j-3".into(), Stamp(1));
+    w.feed(holder, Input::Mesh(Message::Cancelled { job, revision }));
+    w.pass(4.0);
+    assert_eq!(w.running("j-3/0").len(), 1);
+}
+
+/// The log of changes was too short for a watch that stood still: the store is read
+/// from the start, by the same holder under the same term.
+#[test]
+fn a_reading_from_the_start_keeps_what_is_held() {
+    let mut w = started(1, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    // Fenced several times, so that its token is far above the term's first.
+    for n in 2..6 {
+        w.hold_directs = true;
+        w.submit(&desc(&format!("j-{n}"), 1));
+        w.pass(0.3);
+        w.hold_directs = false;
+        w.pass(4.0);
+    }
+    let copies = [w.workers[0].report(), w.workers[1].report()];
+    w.finish_all();
+    w.pass(4.0);
+    let before: Vec<u64> = w.workers.iter().map(|m| m.baton.0).collect();
+    // Away: what was submitted and cancelled meanwhile comes with the reading.
+    w.submit(&desc("j-7", 1));
+    w.pass(2.0);
+    w.nodes[0].no_store = true;
+    w.submit(&desc("j-8", 2));
+    w.cancel("j-7");
+    w.pass(1.0);
+    w.nodes[0].loaded = false;
+    w.nodes[0].no_store = false;
+    w.pass(0.1);
+    for copy in &copies {
+        assert_eq!(
+            w.late_copy(0, copy),
+            Some(Answer::NotNow),
+            "older than known"
+        );
+    }
+    w.pass(5.0);
+    assert_eq!(
+        w.running("j-8/0").len(),
+        1,
+        "workers obey, and attempts are new"
+    );
+    assert!(w.running("j-7/0").is_empty());
+    assert_eq!(w.all_running(), 2);
+    let after: Vec<u64> = w.workers.iter().map(|m| m.baton.0).collect();
+    assert!(before.iter().zip(&after).all(|(b, a)| b <= a));
+    let lease_s = w.nodes[0].settings.platform.workers.lease_s;
+    w.pass(lease_s + 5.0);
+    assert!(w.workers.iter().all(|m| m.shift == 1), "answered all along");
+}
+
+/// A hand-back without an answer, and a watch that hangs: another holds the block, and
+/// counts silent workers' leases from its grant.
+#[test]
+fn who_hands_a_block_back_answers_no_worker_from_then_on() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 8));
+    w.pass(3.0);
+    let before = w.holder();
+    w.nodes[before].no_workers = true;
+    w.nodes[before].unanswered = true;
+    // It hears nobody, so it hands the block back; the write is carried out.
+    let holder = |w: &World| w.store.keys["r/blocks/0/holder"].1["holder"].clone();
+    let was = holder(&w);
+    for _ in 0..300 {
+        w.pass(0.1);
+        if w.store.keys["r/blocks/0/holder"].1["incarnation"] == 0 || holder(&w) != was {
+            break;
+        }
+    }
+    w.nodes[before].no_store = true;
+    w.nodes[before].no_workers = false;
+    let report = w.workers[0].report();
+    let answer = w.feed(before, Input::CheckIn { report, ticket: 1 });
+    assert!(!matches!(answer, Some(Answer::Orders(_))), "{answer:?}");
+    w.pass(60.0);
+    assert_ne!(w.holder(), before);
+    assert_eq!(w.all_running(), 8);
+}
+
+#[test]
+fn a_hand_back_that_was_surely_refused_changes_nothing() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 4));
+    w.pass(3.0);
+    let holder = w.holder();
+    w.nodes[holder].no_workers = true;
+    w.pass(5.0);
+    w.nodes[holder].refused = true;
+    w.pass(6.0);
+    w.nodes[holder].no_workers = false;
+    w.pass(2.0);
+    let report = w.workers[0].report();
+    let answer = w.feed(holder, Input::CheckIn { report, ticket: 1 });
+    assert!(matches!(answer, Some(Answer::Orders(_))), "{answer:?}");
+}
+
+/// Where the store has each machine.
+fn records(w: &World) -> BTreeMap<MachineId, Vec<String>> {
+    let mut at: BTreeMap<MachineId, Vec<String>> = BTreeMap::new();
+    let shards = w
+        .store
+        .keys
+        .iter()
+        .filter(|(k, _)| k.contains("/machines/"));
+    for (key, (_, value, _)) in shards {
+        let rec: MachinesRec = serde_json::from_value(value.clone()).expect("a shard");
+        for id in rec.0.keys() {
+            at.entry(id.clone()).or_default().push(key.clone());
+        }
+    }
+    at
+}
+
+/// The leader puts machines into one block without an answer, then into another, and
+/// then the first write is carried out.
+#[test]
+fn a_late_write_of_machines_puts_none_into_two_blocks() {
+    let mut w = two_blocks(2, 2);
+    w.workers[0].cut = true;
+    w.workers[1].cut = true;
+    let held = |w: &World| {
+        w.held_txns
+            .iter()
+            .any(|(_, ops)| format!("{ops:?}").contains("m-00"))
+    };
+    for n in &mut w.nodes {
+        n.late = false;
+    }
+    // The machines appear while the leader's writes get no answer.
+    let leader = |w: &World| {
+        let rec = w.store.keys.get("r/leader");
+        rec.and_then(|(_, v, _)| {
+            w.nodes
+                .iter()
+                .position(|n| v["holder"] == *n.settings.label.as_str())
+        })
+    };
+    while leader(&w).is_none() || w.store.keys.len() < 6 {
+        w.pass(0.1);
+    }
+    let by = leader(&w).expect("a leader");
+    w.returned.clear();
+    w.nodes[by].late = true;
+    let known = records(&w).len();
+    w.add_machines(4);
+    for _ in 0..100 {
+        w.pass(0.1);
+        if held(&w) {
+            break;
+        }
+    }
+    assert!(held(&w), "the write is on its way");
+    let late = std::mem::take(&mut w.held_txns);
+    w.nodes[by].late = false;
+    // Room is lacking in the other block now.
+    let team = |n: usize| ["red", "blue"][n].to_owned();
+    for n in 0..2 {
+        let mut d = desc(&format!("j-{n}"), 30);
+        d.team = team(n);
+        if !format!("{late:?}").contains(&format!("r/blocks/{n}/machines")) {
+            w.submit_to(&d, n as u64);
+        }
+    }
+    w.pass(4.0);
+    assert!(records(&w).len() > known, "recorded without it");
+    for (conds, ops) in late {
+        w.store.txn(&conds, ops);
+    }
+    w.pass(2.0);
+    for (id, at) in records(&w) {
+        assert_eq!(at.len(), 1, "{id} is in {at:?}");
+    }
+}
+
+/// A cancelled job has no record any more, but its tasks are on their machine until it
+/// hears of it: they use their team's limit, and nobody else's.
+#[test]
+fn a_cancelled_jobs_tasks_count_after_a_change_of_leader() {
+    let mut w = started(2, 3);
+    w.submit(&desc("j-1", 8));
+    w.pass(3.0);
+    let at = w.running("j-1/0")[0];
+    assert_eq!(w.all_running(), 8, "all that the team may use");
+    w.cloud_down = true;
+    let before = w.holder();
+    w.crash(before);
+    w.cancel("j-1");
+    // It hears the new token, and nothing after that.
+    let first = w.workers[at].baton;
+    while w.workers[at].baton == first {
+        w.pass(0.1);
+    }
+    w.workers[at].deaf = true;
+    w.submit(&desc("j-2", 8));
+    let mut blue = desc("j-3", 8);
+    blue.team = "blue".into();
+    w.submit(&blue);
+    w.pass(12.0);
+    assert!(w.workers[at].running("j-1/").count() > 0, "it goes on");
+    assert_eq!(
+        w.running("j-3/0").len(),
+        1,
+        "another team's limit is not touched"
+    );
+    let lease_s = w.nodes[0].settings.platform.workers.lease_s;
+    w.pass(lease_s);
+    assert_eq!(w.running("j-2/7").len(), 1, "once its lease is over");
+}
+
+/// Its record is of an earlier version and says nothing: it may be anybody's.
+#[test]
+fn a_cancelled_job_of_which_nothing_is_known_counts_as_the_worst_case() {
+    let mut w = started(2, 3);
+    w.submit(&desc("j-1", 8));
+    w.pass(3.0);
+    let at = w.running("j-1/0")[0];
+    w.cloud_down = true;
+    let before = w.holder();
+    w.crash(before);
+    w.cancel("j-1");
+    let ended = w.store.keys.get_mut("ended/j-1").expect("a record");
+    ended
+        .1
+        .as_object_mut()
+        .expect("an object")
+        .remove("footprint");
+    let first = w.workers[at].baton;
+    while w.workers[at].baton == first {
+        w.pass(0.1);
+    }
+    w.workers[at].deaf = true;
+    w.submit(&desc("j-2", 8));
+    w.pass(12.0);
+    assert!(w.workers[at].running("j-1/").count() > 0);
+    let lease_s = w.nodes[0].settings.platform.workers.lease_s;
+    w.pass(lease_s);
+    assert_eq!(w.running("j-2/7").len(), 1);
+}
+
+/// Its workers reach no controller, while direct commands reach them.
+#[test]
+fn a_mute_machine_gets_no_work_and_is_replaced_once_it_has_none() {
+    let mut w = started(1, 3);
+    w.task_time = Some(secs(8.0));
+    w.submit(&desc("j-1", 2));
+    w.pass(3.0);
+    let mute = w.running("j-1/0")[0];
+    w.workers[mute].mute = true;
+    w.pass(11.0);
+    assert_eq!(
+        w.ended("j-1"),
+        Some(Standing::Done),
+        "its answers tell of the end"
+    );
+    // The fullest room is where the next ones would go.
+    w.submit(&desc("j-2", 8));
+    w.pass(3.0);
+    assert_eq!(w.workers[mute].running("").count(), 0);
+    assert_eq!(w.all_running(), 8);
+    w.pass(15.0);
+    assert_eq!(w.returned, [w.workers[mute].id.clone()]);
+}
+
+#[test]
+fn a_mute_machine_keeps_its_work_until_its_lease_ends_and_is_then_replaced() {
+    let mut w = started(1, 3);
+    w.submit(&desc("j-1", 2));
+    w.pass(3.0);
+    let mute = w.running("j-1/0")[0];
+    w.workers[mute].mute = true;
+    w.pass(20.0);
+    assert_eq!(w.running("j-1/0"), [mute], "nothing is lost before");
+    assert!(w.returned.is_empty());
+    w.pass(20.0);
+    assert!(w.returned.contains(&w.workers[mute].id));
+    assert_eq!(w.running("j-1/0").len(), 1);
+    assert_ne!(w.running("j-1/0"), [mute]);
+}
+
+#[test]
+fn all_controllers_are_away_for_longer_than_a_lease() {
+    let mut w = started(3, 3);
+    w.submit(&desc("j-1", 8));
+    w.pass(3.0);
+    let copies: Vec<_> = w.workers.iter_mut().map(|m| m.report()).collect();
+    for i in 0..3 {
+        w.crash(i);
+    }
+    let lease_s = w.nodes[0].settings.platform.workers.lease_s;
+    w.pass(lease_s + 5.0);
+    assert_eq!(w.all_running(), 0);
+    for i in 0..3 {
+        w.start(i);
+    }
+    w.pass(4.0);
+    // From the sessions before: they show what is over.
+    let holder = w.holder();
+    for copy in &copies {
+        w.late_copy(holder, copy);
+    }
+    w.pass(8.0);
+    assert_eq!(w.all_running(), 8);
+    w.finish_all();
+    w.pass(4.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
+#[test]
+fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
+    let mut w = started(3, 3);
+    w.task_time = Some(secs(9.0));
+    for round in 0..10 {
+        let id = format!("j-{round}");
+        if !w.store.down {
+            w.submit(&desc(&id, 3));
+        }
+        let leader = w
+            .store
+            .keys
+            .get("r/leader")
+            .map(|(_, v, _)| v["holder"].clone());
+        let of = |n: &super::world::Node| {
+            leader
+                .as_ref()
+                .is_some_and(|l| *l == *n.settings.label.as_str())
+        };
+        let at = w.nodes.iter().position(of).unwrap_or(round % 3);
+        w.crash(at);
+        w.store.down = (4..7).contains(&round);
+        w.pass(if round % 2 == 0 { 0.3 } else { 6.0 });
+        w.start(at);
+        w.pass(8.0);
+    }
+    w.pass(60.0);
+    for round in (0..10).filter(|r| !(5..=7).contains(r)) {
+        assert_eq!(
+            w.ended(&format!("j-{round}")),
+            Some(Standing::Done),
+            "{round}"
+        );
+    }
+}
+
+#[test]
+fn a_zone_with_its_workers_is_cut_off_for_longer_than_a_lease() {
+    let mut w = started(3, 4);
+    for at in 0..2 {
+        w.workers[at].zone = "y";
+    }
+    let mut bound = desc("j-1", 4);
+    bound.one_zone = true;
+    w.submit(&bound);
+    w.pass(3.0);
+    let zone = w.workers[w.running("j-1/0")[0]].zone;
+    w.cloud_down = true;
+    let before = w.holder();
+    w.nodes[before].no_store = true;
+    w.nodes[before].no_peers = true;
+    for m in w.workers.iter_mut().filter(|m| m.zone == zone) {
+        m.cut = true;
+    }
+    w.copying = true;
+    w.pass(50.0);
+    // All of it is elsewhere now, and in one zone.
+    assert_ne!(w.holder(), before);
+    assert_eq!(w.all_running(), 4);
+    for m in &mut w.workers {
+        m.cut = false;
+    }
+    w.nodes[before].no_store = false;
+    w.nodes[before].no_peers = false;
+    w.copying = false;
+    let holder = w.holder();
+    for copy in std::mem::take(&mut w.copies) {
+        w.late_copy(holder, &copy);
+    }
+    w.pass(10.0);
+    assert_eq!(w.all_running(), 4);
+}
+
+#[test]
+fn a_job_whose_tasks_end_far_apart_over_a_change_of_leader_is_done_once() {
+    let mut w = started(3, 2);
+    w.submit(&desc("j-1", 3));
+    w.pass(3.0);
+    let end = |w: &mut World, hand: &str| {
+        for m in &mut w.workers {
+            if let Some(h) = m.hands.get_mut(hand) {
+                (h.1, h.2) = ("exited".into(), Some("done".into()));
+            }
+        }
+    };
+    end(&mut w, "j-1/0");
+    w.pass(4.0);
+    // The second ends while the holder's writes get no answer, and it ends itself.
+    let before = w.holder();
+    w.nodes[before].late = true;
+    end(&mut w, "j-1/1");
+    w.pass(3.0);
+    w.nodes[before].late = false;
+    w.crash(before);
+    w.pass(30.0);
+    for (conds, ops) in std::mem::take(&mut w.held_txns) {
+        w.store.txn(&conds, ops);
+    }
+    assert_eq!(w.ended("j-1"), None);
+    w.pass(5.0);
+    assert!(w.running("j-1/0").is_empty(), "known to be done");
+    end(&mut w, "j-1/2");
+    w.pass(6.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
+#[test]
+fn at_the_limit_when_the_leader_changes_and_a_cancellation_falls_into_it() {
+    let mut w = started(2, 4);
+    w.submit(&desc("j-1", 4));
+    w.submit(&desc("j-2", 4));
+    w.pass(3.0);
+    assert_eq!(w.all_running(), 8, "16 cores are the limit");
+    w.cloud_down = true;
+    for at in w.running("j-1/0") {
+        w.workers[at].cut = true;
+    }
+    let before = w.holder();
+    w.crash(before);
+    w.pass(21.0);
+    w.cancel("j-1");
+    w.submit(&desc("j-3", 8));
+    w.pass(50.0);
+    for m in &mut w.workers {
+        m.cut = false;
+    }
+    w.pass(12.0);
+    assert!(w.started_ever("j-3"), "the limit is free again");
+}
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod added;
 mod fleet;
+mod meetings;
+mod pairs;
 mod size;
 mod world;
 
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -4,7 +4,7 @@
 use crate::api::desk::Found;
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed};
-use crate::ids::{JobId, Label, MachineId, Stamp, Tenure, Token};
+use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, TaskId, Tenure, Token};
 use crate::jobs::tests::types;
 use crate::jobs::{EndedRec, JobDesc, JobRec, Standing};
 use crate::policy::tests::standard;
@@ -13,7 +13,8 @@
 use crate::store::{self, Change, Cond, Op, Reply, Request, Row, cond, keys};
 use crate::workers::{Direct, Order, Report};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -178,6 +179,7 @@
 /// A worker with instant images whose tasks run until the script ends them.
 pub struct FakeWorker {
     pub id: MachineId,
+    pub build: &'static str,
     pub zone: &'static str,
     pub shift: u64,
     pub tally: u64,
@@ -189,6 +191,11 @@
     pub deaf: bool,
     /// Its reports don't arrive, but commands reach it.
     pub mute: bool,
+    /// It stands still: it does nothing, and what is sent to it waits.
+    pub hung: bool,
+    waiting: Vec<Direct>,
+    /// Of an attempt that it has begun, and of those that it refused for its room.
+    pub launched: Vec<(String, u64)>,
     /// When each running task began.
     pub began: BTreeMap<String, Micros>,
     pub last_answer: Micros,
@@ -197,6 +204,28 @@
 }
 
 impl FakeWorker {
+    pub fn new(n: usize, build: &'static str, zone: &'static str, now: Micros) -> Self {
+        FakeWorker {
+            id: MachineId::from(format!("m-{n:06}")),
+            build,
+            zone,
+            shift: 1,
+            tally: 0,
+            baton: Token(0),
+            hands: BTreeMap::new(),
+            node: None,
+            cut: false,
+            deaf: false,
+            mute: false,
+            hung: false,
+            waiting: vec![],
+            launched: vec![],
+            began: BTreeMap::new(),
+            last_answer: now,
+            due: now,
+        }
+    }
+
     pub fn report(&mut self) -> Report {
         self.tally += 1;
         let hands: Vec<Value> = self
@@ -204,7 +233,7 @@
             .iter()
             .map(|(h, (n, standing, cause))| json!({"hand": h, "try": n, "standing": standing, "cause": cause}))
             .collect();
-        serde_json::from_value(json!({"rig": self.id, "addr": format!("{}:1", self.id), "build": "big", "yard": self.zone,
+        serde_json::from_value(json!({"rig": self.id, "addr": format!("{}:1", self.id), "build": self.build, "yard": self.zone,
             "loaners": false, "shift": self.shift, "tally": self.tally, "baton": self.baton, "hands": hands}))
         .expect("a report")
     }
@@ -213,9 +242,11 @@
         for o in orders {
             match o {
                 Order::Launch { hand, attempt } => {
-                    self.hands
-                        .entry(hand.clone())
-                        .or_insert((attempt.0, "running".into(), None));
+                    let new = (attempt.0, "running".into(), None);
+                    if let Entry::Vacant(free) = self.hands.entry(hand.clone()) {
+                        free.insert(new);
+                        self.launched.push((hand.clone(), attempt.0));
+                    }
                 }
                 Order::Halt { hand, attempt, .. } => {
                     if let Some(h) = self
@@ -233,6 +264,13 @@
         }
     }
 
+    /// Its tasks that run and begin with this.
+    pub fn running<'a>(&'a self, begins: &'a str) -> impl Iterator<Item = &'a str> {
+        let runs = self.hands.iter().filter(|(_, h)| h.1 == "running");
+        runs.map(|(hand, _)| hand.as_str())
+            .filter(move |hand| hand.starts_with(begins))
+    }
+
     pub fn direct(&mut self, d: &Direct) -> Report {
         if d.baton >= self.baton && d.shift == self.shift {
             self.baton = d.baton;
@@ -249,6 +287,12 @@
     pub loaded: bool,
     /// It does not reach the store.
     pub no_store: bool,
+    /// The store refuses it alone.
+    pub refused: bool,
+    /// Its transactions get no answer and are carried out when this is over.
+    pub late: bool,
+    /// Its transactions are carried out, but their answers are lost.
+    pub unanswered: bool,
     /// It does not reach the other controllers.
     pub no_peers: bool,
     /// It does not reach the workers, nor they it.
@@ -266,6 +310,13 @@
     /// Machines that the cloud has returned.
     pub returned: Vec<MachineId>,
     pub cloud_down: bool,
+    /// The cloud has machines to rent, up after three seconds.
+    pub renting: bool,
+    hired: BTreeMap<String, Vec<MachineId>>,
+    /// When users were told that a job is cancelled.
+    pub cancelled: BTreeMap<JobId, Micros>,
+    /// Which attempt numbers were launched, and where: they never repeat.
+    attempts: BTreeMap<u64, (String, MachineId)>,
     /// Of nodes that start from now on.
     pub idle_return: Micros,
     /// Transactions and direct commands held back by a cut, to be let go later.
@@ -273,6 +324,11 @@
     pub hold_job_txns: bool,
     pub held_directs: Vec<(usize, Direct)>,
     pub hold_directs: bool,
+    /// Reports are copied, and those that a cut stops are kept, to come late.
+    pub copying: bool,
+    pub copies: Vec<Report>,
+    /// Jobs submitted with a mistake: each task fails a second after its start.
+    pub mistaken: BTreeSet<JobId>,
     /// Those that were carried out: a copy of any may come again.
     pub done_directs: Vec<(usize, Direct)>,
     /// How long tasks run; none: until the script ends them.
@@ -304,6 +360,9 @@
                 since: 0,
                 loaded: false,
                 no_store: false,
+                refused: false,
+                late: false,
+                unanswered: false,
                 no_peers: false,
                 no_workers: false,
                 frozen: false,
@@ -311,21 +370,7 @@
             });
         }
         let workers = (0..machines)
-            .map(|i| FakeWorker {
-                id: MachineId::from(format!("m-{i:06}")),
-                zone: "x",
-                shift: 1,
-                tally: 0,
-                baton: Token(0),
-                hands: BTreeMap::new(),
-                node: None,
-                cut: false,
-                deaf: false,
-                mute: false,
-                began: BTreeMap::new(),
-                last_answer: secs(1.0),
-                due: secs(1.0),
-            })
+            .map(|n| FakeWorker::new(n, "big", "x", secs(1.0)))
             .collect();
         let mut w = World {
             now: secs(1.0),
@@ -334,11 +379,18 @@
             workers,
             returned: vec![],
             cloud_down: false,
+            renting: false,
+            hired: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             idle_return: secs(10_000.0),
             held_txns: vec![],
             hold_job_txns: false,
             held_directs: vec![],
             hold_directs: false,
+            copying: false,
+            copies: vec![],
+            mistaken: BTreeSet::new(),
             done_directs: vec![],
             found: vec![],
             task_time: None,
@@ -400,14 +452,14 @@
                         let reply = self.cloud(&request);
                         inputs.push(Input::Cloud { request, reply });
                     }
-                    Effect::News(news) => {
+                    Effect::Mesh(message) => {
                         for j in (0..self.nodes.len()).filter(|j| *j != i) {
                             if self.nodes[i].no_peers || self.nodes[j].no_peers {
                                 continue;
                             }
                             if let Some(peer) = self.nodes[j].core.as_mut() {
                                 // What peers do about it, they do at their next tick.
-                                peer.note(now, news.clone());
+                                peer.hear(now, message.clone());
                             }
                         }
                     }
@@ -420,7 +472,21 @@
     }
 
     pub fn ask(&mut self, i: usize, tag: &Tag, request: Request) -> Reply {
-        if self.nodes[i].no_store {
+        let n = &self.nodes[i];
+        if n.no_store {
+            return Reply::Unknown;
+        }
+        if n.refused {
+            return Reply::Refused;
+        }
+        if n.late
+            && let Request::Txn { conds, ops } = &request
+        {
+            self.held_txns.push((conds.clone(), ops.clone()));
+            return Reply::Unknown;
+        }
+        if n.unanswered && matches!(request, Request::Txn { .. }) {
+            self.store.answer(self.now, request);
             return Reply::Unknown;
         }
         if self.hold_job_txns
@@ -444,6 +510,10 @@
         if w.cut || w.deaf || self.returned.contains(machine) {
             return DirectAnswer::NotSent;
         }
+        if w.hung {
+            self.workers[at].waiting.push(d);
+            return DirectAnswer::Lost;
+        }
         self.done_directs.push((at, d.clone()));
         DirectAnswer::Report(self.workers[at].direct(&d))
     }
@@ -464,7 +534,7 @@
                         .map(|w| Listed {
                             id: w.id.clone(),
                             addr: Some(format!("{}:1", w.id)),
-                            build: "big".into(),
+                            build: w.build.into(),
                             zone: w.zone.into(),
                             spot: false,
                             standing: CloudStanding::Running,
@@ -473,7 +543,25 @@
                         .collect(),
                 )
             }
-            CloudRequest::Rent(..) => CloudReply::NoCapacity,
+            CloudRequest::Rent(..) if !self.renting => CloudReply::NoCapacity,
+            CloudRequest::Rent(name, hire) => {
+                let now = self.now;
+                let build = if hire.build == "big" { "big" } else { "small" };
+                let zone = if hire.zone == "y" { "y" } else { "x" };
+                let workers = &mut self.workers;
+                let ids = self.hired.entry(name.clone()).or_insert_with(|| {
+                    let new = |n| {
+                        let mut w = FakeWorker::new(n, build, zone, now + secs(3.0));
+                        w.last_answer = now + secs(3.0);
+                        w
+                    };
+                    let first = workers.len();
+                    let count = hire.count as usize;
+                    workers.extend((first..first + count).map(new));
+                    workers[first..].iter().map(|w| w.id.clone()).collect()
+                });
+                CloudReply::Rented(ids.clone())
+            }
             CloudRequest::Return(ids) => {
                 self.returned.extend(ids.iter().cloned());
                 for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
@@ -494,7 +582,8 @@
                 if self.nodes[i].core.is_none() || self.nodes[i].frozen {
                     continue;
                 }
-                if !self.nodes[i].no_store && !self.store.down {
+                let n = &self.nodes[i];
+                if !n.no_store && !n.refused && !self.store.down {
                     self.sync(i);
                 }
                 self.feed(i, Input::Tick);
@@ -513,52 +602,119 @@
     /// What happens on a machine by itself: its lease ends, its tasks end.
     fn work(&mut self, at: usize) {
         let over = secs(self.nodes[0].settings.platform.workers.lease_s);
-        let (now, time) = (self.now, self.task_time);
+        let (now, time, mistaken) = (self.now, self.task_time, &self.mistaken);
         let w = &mut self.workers[at];
+        if w.hung {
+            return;
+        }
         if now.since(w.last_answer) > over {
             w.shift += 1;
             w.hands.clear();
             w.last_answer = now;
         }
+        // What waited while it stood still is carried out if it still matches.
+        for d in std::mem::take(&mut w.waiting) {
+            w.direct(&d);
+        }
         let Some(time) = time else { return };
         w.began
             .retain(|h, _| w.hands.get(h).is_some_and(|h| h.1 == "running"));
         for (hand, state) in w.hands.iter_mut().filter(|(_, s)| s.1 == "running") {
             let began = *w.began.entry(hand.clone()).or_insert(now);
+            let task = TaskId::parse(hand).expect("a task");
+            let (time, cause) = if mistaken.contains(&task.job) {
+                (secs(1.0), "error")
+            } else {
+                (time, "done")
+            };
             if now.since(began) >= time {
-                *state = (state.0, "exited".into(), Some("done".into()));
+                *state = (state.0, "exited".into(), Some(cause.into()));
                 w.due = w.due.min(now + secs(0.3));
             }
         }
     }
 
-    /// The rules that hold at every moment: no task runs on two machines, and no team
-    /// uses more than its limit.
-    pub fn check_rules(&self) {
-        let mut at: BTreeMap<&str, &MachineId> = BTreeMap::new();
-        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
-        for w in self
-            .workers
+    /// The rules that hold at every moment.
+    pub fn check_rules(&mut self) {
+        self.check_launches();
+        self.check_machines();
+    }
+
+    /// What was launched since the last look: an attempt's number never repeats, and
+    /// its task may be where it is.
+    fn check_launches(&mut self) {
+        for at in 0..self.workers.len() {
+            for (hand, attempt) in std::mem::take(&mut self.workers[at].launched) {
+                let w = &self.workers[at];
+                let here = (hand.clone(), w.id.clone());
+                let first = self.attempts.entry(attempt).or_insert_with(|| here.clone());
+                assert_eq!(*first, here, "attempt {attempt} is given twice");
+                let task = TaskId::parse(&hand).expect("a task");
+                let Some(d) = self.submitted.get(&task.job) else {
+                    continue;
+                };
+                assert!(
+                    d.allows(w.build, w.zone, false),
+                    "{hand} on {} in {}",
+                    w.build,
+                    w.zone
+                );
+                let begins = format!("{}/", task.job);
+                let in_zone = |zone: &str| -> usize {
+                    let there = self.alive().filter(|o| o.zone == zone);
+                    there.map(|o| o.running(&begins).count()).sum()
+                };
+                if d.one_zone {
+                    let other = if w.zone == "x" { "y" } else { "x" };
+                    assert_eq!(in_zone(other), 0, "{hand} in {}: not in one zone", w.zone);
+                }
+                if d.apart {
+                    let most = d.tasks.div_ceil(2) as usize;
+                    assert!(in_zone(w.zone) <= most, "{hand} in {}: not apart", w.zone);
+                }
+            }
+        }
+    }
+
+    fn alive(&self) -> impl Iterator<Item = &FakeWorker> {
+        self.workers
             .iter()
             .filter(|w| !self.returned.contains(&w.id))
-        {
-            for hand in w
-                .hands
-                .iter()
-                .filter(|(_, h)| h.1 == "running")
-                .map(|h| h.0)
-            {
+    }
+
+    /// No task runs on two machines, no team uses more than its limit, cancelled tasks
+    /// included, and those are gone in time.
+    fn check_machines(&self) {
+        let platform = &self.nodes[0].settings.platform;
+        let mut at: BTreeMap<&str, &MachineId> = BTreeMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        // A machine that stands still may go on at any moment within its lease, and runs
+        // nothing after it: that is over before anything else when it goes on.
+        let lease = secs(platform.workers.lease_s);
+        let may_go_on = |w: &&FakeWorker| !w.hung || self.now.since(w.last_answer) <= lease;
+        for w in self.alive().filter(may_go_on) {
+            for hand in w.running("") {
                 let other = at.insert(hand, &w.id);
                 assert!(other.is_none(), "{hand} runs on {} and {other:?}", w.id);
                 let job = hand.split('/').next().expect("a job").into();
                 if let Some(d) = self.submitted.get(&job) {
                     *used.entry(&d.team).or_default() += d.cores;
                 }
+                // A machine that stands still runs nothing, until it goes on.
+                if let Some(told) = self.cancelled.get(&job).filter(|_| !w.hung) {
+                    let since = self.now.since(*told).as_secs();
+                    let most = platform.workers.cancel_s;
+                    assert!(
+                        since <= most,
+                        "{hand} on {} is cancelled since {since}",
+                        w.id
+                    );
+                }
             }
         }
         for (team, cores) in used {
-            let teams = &self.nodes[0].settings.platform.teams;
-            let team = teams.iter().find(|t| t.name == team).expect("a team");
+            let team = platform.teams.iter().find(|t| t.name == team);
+            let team = team.expect("a team");
             assert!(cores <= team.cpus_max + 1e-6, "{} uses {cores}", team.name);
         }
     }
@@ -593,6 +749,13 @@
         self.nodes[0].core.as_ref().map_or(0, Core::looked_at)
     }
 
+    /// Machines come up that nobody expected.
+    pub fn add_machines(&mut self, count: usize) {
+        let first = self.workers.len();
+        let new = (first..first + count).map(|n| FakeWorker::new(n, "big", "x", self.now));
+        self.workers.extend(new);
+    }
+
     pub fn started_ever(&self, id: &str) -> bool {
         let begins = |h: &String| h.starts_with(&format!("{id}/"));
         self.ended(id) == Some(Standing::Done)
@@ -623,7 +786,15 @@
         if self.returned.contains(&self.workers[at].id) {
             return;
         }
-        if self.workers[at].cut || self.workers[at].mute {
+        let w = &self.workers[at];
+        if w.hung {
+            return;
+        }
+        if w.cut || w.mute {
+            if self.copying {
+                let report = self.workers[at].report();
+                self.copies.push(report);
+            }
             return;
         }
         let order: Vec<usize> = self.workers[at]
@@ -648,6 +819,9 @@
         }
         for i in order {
             let report = self.workers[at].report();
+            if self.copying {
+                self.copies.push(report.clone());
+            }
             match self.feed(i, Input::CheckIn { report, ticket: 1 }) {
                 Some(Answer::Orders(o)) => {
                     let w = &mut self.workers[at];
@@ -669,11 +843,17 @@
     }
 
     pub fn submit(&mut self, desc: &JobDesc) {
+        self.submit_to(desc, 0);
+    }
+
+    /// To the block that its team is in.
+    pub fn submit_to(&mut self, desc: &JobDesc, block: u64) {
         self.submitted.insert(desc.id.clone(), desc.clone());
+        let key = keys::holder(BlockId(block));
         let holder = self
             .store
             .keys
-            .get("r/blocks/0/holder")
+            .get(&key)
             .map_or((0, Value::Null), |v| (v.0, v.1.clone()));
         let born = serde_json::from_value(holder.1["term"].clone()).unwrap_or_default();
         let rec = JobRec {
@@ -683,7 +863,7 @@
         };
         let conds = [
             cond(keys::job(&desc.id), Stamp(0)),
-            cond("r/blocks/0/holder".into(), Stamp(holder.0)),
+            cond(key, Stamp(holder.0)),
         ];
         let reply = self
             .store
@@ -696,7 +876,9 @@
         let ended = EndedRec {
             standing: Standing::Cancelled,
             tasks: 1,
+            footprint: self.submitted.get(&id).map(JobDesc::footprint),
         };
+        self.cancelled.insert(id.clone(), self.now);
         self.store.commit(vec![
             store::delete(keys::job(&id)),
             store::set(keys::ended(&id), &ended),
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -117,7 +117,8 @@
 pub struct Load {
     pub summed: Res,
     pub teams: Vec<(usize, Res)>,
-    /// Unreported since a take-over: it may hold anything, of any team.
+    /// Unreported since a take-over, or with attempts of jobs that are not known: it
+    /// may hold anything, of any team.
     pub unknown: bool,
 }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -107,6 +107,13 @@
         Res::new(self.cores, self.cards, self.mem)
     }
 
+    pub fn footprint(&self) -> Footprint {
+        Footprint {
+            team: self.team.clone(),
+            request: self.request(),
+        }
+    }
+
     pub fn image_key(&self) -> ImageKey {
         let mut hasher = DefaultHasher::new();
         self.image.hash(&mut hasher);
@@ -187,13 +194,20 @@
         if serde_json::to_string(self).map_or(0, |s| s.len()) as f64 > most {
             return never("its description is too long to be recorded".into());
         }
-        let fits = |t: &MachineType| {
-            self.request().fits_in(&t.capacity())
-                && t.zones.iter().any(|z| self.allows(&t.name, z, false))
-        };
-        if !types.iter().any(fits) {
+        let fitting = types
+            .iter()
+            .filter(|t| self.request().fits_in(&t.capacity()));
+        let zones: BTreeSet<&str> = fitting
+            .flat_map(|t| t.zones.iter().filter(|z| self.allows(&t.name, z, false)))
+            .map(String::as_str)
+            .collect();
+        if zones.is_empty() {
             return never("a task fits no allowed machine type".into());
         }
+        // At most half of the tasks, rounded up, may be in one zone.
+        if self.apart && self.tasks > 1 && (self.one_zone || zones.len() < 2) {
+            return never("its tasks must be apart, but only one zone is allowed".into());
+        }
         Ok(())
     }
 }
@@ -229,11 +243,22 @@
     Cancelled,
 }
 
+/// What each task of a job takes, and whose limit it counts against.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Footprint {
+    pub team: String,
+    pub request: Res,
+}
+
 /// What the store keeps of a job that is over. It never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndedRec {
     pub standing: Standing,
     pub tasks: u32,
+    /// For a later holder that finds an attempt of it still on a machine. Records of
+    /// earlier versions lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub footprint: Option<Footprint>,
 }
 
 /// A job in its owner's hands.
@@ -391,6 +416,7 @@
         let ended = EndedRec {
             standing: Standing::Done,
             tasks: self.desc.tasks,
+            footprint: Some(self.desc.footprint()),
         };
         let conds = vec![
             cond(keys::job(id), self.stamp),
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -62,13 +62,15 @@
             "{field} = {value}"
         );
     }
-    for field in ["id", "crew", "hands", "deck", "reckonS", "loaners"] {
-        let mut b = body();
-        b.as_object_mut().expect("an object").remove(field);
-        assert!(
-            matches!(parse(&b), Err(Refusal::Malformed(_))),
-            "without {field}"
-        );
+    for field in body().as_object().expect("an object").keys() {
+        let may_lack = ["builds", "yard", "dueS", "new"].contains(&field.as_str());
+        let (mut without, mut null) = (body(), body());
+        without.as_object_mut().expect("an object").remove(field);
+        null[field] = serde_json::Value::Null;
+        for b in [without, null] {
+            let malformed = matches!(parse(&b), Err(Refusal::Malformed(_)));
+            assert_eq!(malformed, !may_lack, "without {field}");
+        }
     }
     assert!(JobDesc::parse(br#"{"cores":1e999}"#).is_err());
 }
@@ -92,6 +94,16 @@
         d.zone = Some("y".into());
         d.cores = 8.0;
     }));
+    assert!(check(&|d| d.builds = Some(vec!["huge".into()])));
+    // Apart, and yet in one zone: by its own words, or since no other has the type.
+    assert!(check(&|d| (d.apart, d.one_zone) = (true, true)));
+    assert!(check(&|d| (d.apart, d.zone) = (true, Some("x".into()))));
+    assert!(check(
+        &|d| (d.apart, d.builds) = (true, Some(vec!["big".into()]))
+    ));
+    assert!(check(&|d| (d.apart, d.cores) = (true, 8.0)));
+    assert!(!check(&|d| d.apart = true));
+    assert!(!check(&|d| (d.apart, d.one_zone, d.tasks) = (true, true, 1)));
 }
 
 #[test]
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,10 +1,10 @@
 //! Between controllers: frames of postcard over TCP, versioned.
 //!
-//! News only speeds things up. Nothing that a rule depends on is carried here,
-//! so a lost, late or repeated frame does no harm.
+//! What is carried here only speeds things up. No rule depends on it, so a lost, late
+//! or repeated frame does no harm.
 
 use crate::clock::Micros;
-use crate::ids::{BlockId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
 use crate::placement::Need;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -16,7 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Frames of another version are skipped, so that versions can meet in a roll.
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
 
 /// What a holder tells of a block.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,6 +40,18 @@
     pub blocks: Vec<BlockNews>,
 }
 
+/// What controllers tell each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    News(News),
+    /// The store has confirmed that a job is cancelled, at this revision. Whoever holds
+    /// its block hears it here before the watch tells, or while the store can't be read.
+    Cancelled {
+        job: JobId,
+        revision: Stamp,
+    },
+}
+
 #[derive(Serialize, Deserialize)]
 struct Frame<T> {
     version: u16,
@@ -52,16 +64,16 @@
         .new_codec()
 }
 
-pub fn encode(news: &News) -> Option<Bytes> {
+pub fn encode(message: &Message) -> Option<Bytes> {
     postcard::to_stdvec(&Frame {
         version: VERSION,
-        body: news,
+        body: message,
     })
     .ok()
     .map(Bytes::from)
 }
 
-pub fn decode(frame: &[u8]) -> Option<News> {
+pub fn decode(frame: &[u8]) -> Option<Message> {
     let (version, rest) = postcard::take_from_bytes::<u16>(frame).ok()?;
     if version != VERSION {
         return None;
@@ -93,7 +105,7 @@
 }
 
 /// Takes peers' frames in and hands them on.
-pub async fn listen(listener: TcpListener, most: usize, hand_on: mpsc::Sender<News>) {
+pub async fn listen(listener: TcpListener, most: usize, hand_on: mpsc::Sender<Message>) {
     let room = std::sync::Arc::new(tokio::sync::Semaphore::new(most));
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else {
@@ -111,8 +123,8 @@
             while let Ok(Some(Ok(frame))) =
                 tokio::time::timeout(Duration::from_secs(20), framed.next()).await
             {
-                if let Some(news) = decode(&frame)
-                    && hand_on.send(news).await.is_err()
+                if let Some(message) = decode(&frame)
+                    && hand_on.send(message).await.is_err()
                 {
                     return;
                 }
--- a/src/mesh/tests.rs
+++ b/src/mesh/tests.rs
@@ -15,6 +15,13 @@
             dead: vec!["m-1".into()],
         }],
     };
+    let cancelled = Message::Cancelled {
+        job: "j-1".into(),
+        revision: Stamp(7),
+    };
+    let frame = encode(&cancelled).expect("encodes");
+    assert_eq!(decode(&frame), Some(cancelled));
+    let news = Message::News(news);
     let frame = encode(&news).expect("encodes");
     assert_eq!(decode(&frame), Some(news));
     let mut other = frame.to_vec();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -82,10 +82,12 @@
     m.used
         && !m.draining
         && m.leaving == Leaving::No
-        && !m.unsettled
+        && !m.load.unknown
         && m.taken_at.is_none()
         && m.unreached == 0
-        && m.last_heard.is_some_and(|h| now.since(h) < heard_within)
+        // Guards against work for a mute machine: it hears direct commands, but reaches
+        // no controller, so that its session ends with its lease, again and again.
+        && m.last_report.is_some_and(|h| now.since(h) < heard_within)
         && !m.suspect()
 }
 
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -204,8 +204,8 @@
             for (key, _) in &plan.victims {
                 if let Some(t) = m.tries.get(key) {
                     *room += t.request();
-                    if let Some(team) = t.team {
-                        load.take(team, t.request().scale(-1.0));
+                    if let Some((team, request)) = t.takes {
+                        load.take(team, request.scale(-1.0));
                     }
                 }
                 gone.insert(key.clone());
@@ -264,9 +264,9 @@
             return true;
         }
         // Work that another team runs above its own guarantee.
-        let above = t.team.filter(|v| *v != job.team).map(|v| {
+        let above = t.takes.filter(|(v, _)| *v != job.team).map(|(v, request)| {
             let g = scene.settings.platform.teams[v].guarantee();
-            (weights.of(v).used - t.request()).cores >= g.cores
+            (weights.of(v).used - request).cores >= g.cores
         });
         guaranteed && above == Some(true)
     };
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -93,6 +93,9 @@
 pub struct Orders {
     pub baton: Token,
     pub orders: Vec<Order>,
+    /// Not to be sent from then on: our lease may be over.
+    #[serde(skip)]
+    pub until: Micros,
 }
 
 /// Commands sent straight to a worker.
@@ -110,7 +113,9 @@
 pub struct Try {
     pub phase: Phase,
     pub cause: Option<Cause>,
-    pub team: Option<usize>,
+    /// Whose limit it counts against and what it takes; none: of a job that is not
+    /// known here, so that it may be any team's and take all of its machine.
+    pub takes: Option<(usize, Res)>,
     /// None: of a job that is not known here.
     pub desc: Option<Rc<JobDesc>>,
     /// When it was decided, or first seen.
@@ -135,7 +140,7 @@
         Try {
             phase,
             cause: None,
-            team: job.map(|(team, _)| team),
+            takes: job.map(|(team, desc)| (team, desc.request())),
             desc: job.map(|(_, desc)| desc.clone()),
             since: now,
             running_since: (phase == Phase::Running).then_some(now),
@@ -149,7 +154,7 @@
     }
 
     pub fn request(&self) -> Res {
-        self.desc.as_ref().map_or(Res::default(), |d| d.request())
+        self.takes.map_or(Res::default(), |(_, request)| request)
     }
 
     pub fn image(&self) -> Option<ImageKey> {
@@ -212,8 +217,10 @@
     pub added: Micros,
     /// In use before this holder had it, so it has cost its least already.
     pub seasoned: bool,
-    /// When a report of it counted last.
+    /// When a report of it counted last, in answers to direct commands, too.
     pub last_heard: Option<Micros>,
+    /// When it last reported by itself: only the answer to that renews its lease.
+    pub last_report: Option<Micros>,
     /// A report arrived that does not show our token yet: it is up, but what it
     /// says may be a late copy.
     pub knocked: bool,
@@ -293,6 +300,7 @@
             added: now,
             seasoned: false,
             last_heard: None,
+            last_report: None,
             knocked: false,
             seen: Token(0),
             unheard: 0,
@@ -633,9 +641,11 @@
             ..Load::default()
         };
         for t in self.tries.values().filter(|t| t.phase != Phase::Exited) {
-            match t.team {
-                Some(team) => load.take(team, t.request()),
-                None => load.summed += t.request(),
+            match t.takes {
+                Some((team, request)) => load.take(team, request),
+                // Guards against a team over its limit: a cancelled job's record is
+                // gone, but its tasks are on their machine until they have ended.
+                None => load.unknown = true,
             }
         }
         load
