--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -635,3 +635,6 @@
 const INTRODUCE_AFTER: Micros = Micros::from_millis(2_500);
 /// The part of the store's changes that progress may take, over all blocks.
 const PROGRESS_PART: f64 = 0.35;
+
+#[cfg(test)]
+mod tests;
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -149,11 +149,17 @@
 
     fn leave(&mut self, ids: &[MachineId], to: Leaving) {
         for id in ids {
-            if let Some(m) = self.machines.get_mut(id) {
-                // What an earlier write left unsure, a later conflict can't settle.
-                if !(m.leaving == Leaving::Unsure && to == Leaving::No) {
-                    m.leaving = to;
-                }
+            let Some(m) = self.machines.get_mut(id) else {
+                continue;
+            };
+            // Its shard has changed since the write was sent, which has failed by itself.
+            // Guards against giving up a machine that is in use again: the write's answer,
+            // or that there was none, may be heard of later than the change.
+            let settled = m.leaving == Leaving::No;
+            // What an earlier write left unsure, a later conflict can't settle.
+            let unsure = m.leaving == Leaving::Unsure && to == Leaving::No;
+            if !settled && !unsure {
+                m.leaving = to;
             }
         }
     }
@@ -281,7 +287,7 @@
         // the take-over waits for silent machines, nothing is idle by choice.
         let idle_from = if self.rebuilding() { now } else { self.rebuilt };
         let go = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
-            if m.leaving == Leaving::Unsure {
+            if m.leaving == Leaving::Unsure && m.empty() {
                 // Tried before without an answer: again, since it may be done.
                 rec.freed = Some(Freed::Return);
                 return true;
--- /dev/null
+++ b/src/blocks/holder/tests.rs
@@ -0,0 +1,104 @@
+use super::*;
+use crate::blocks::MachineRec;
+use crate::ids::Token;
+use crate::jobs::tests::{rec, types};
+use crate::policy::tests::standard;
+use crate::settings::tests::settings;
+use crate::store::{Change, Reply, keys};
+use crate::workers::tests::report;
+
+fn secs(s: f64) -> Micros {
+    Micros::from_secs(s)
+}
+
+/// The store's newest word on a key.
+fn told(mirror: &mut Mirror, key: String, value: serde_json::Value, stamp: u64) {
+    mirror.change(Change {
+        set: Some(key),
+        delete: None,
+        value,
+        stamp: Stamp(stamp),
+    });
+}
+
+fn shard(mirror: &mut Mirror, machines: &[&str], stamp: u64) {
+    let used = |id: &&str| {
+        let mut rec = MachineRec::blank("10.1.0.1:9000".into(), "big", "x", false);
+        rec.used = true;
+        (MachineId::from(*id), rec)
+    };
+    let rec = MachinesRec(machines.iter().map(used).collect());
+    let value = serde_json::to_value(rec).expect("a record");
+    told(mirror, keys::machines(BlockId(0), 0), value, stamp);
+}
+
+struct Bench {
+    h: Holder,
+    mirror: Mirror,
+    tally: u64,
+}
+
+impl Bench {
+    /// A holder of one block with one machine that has nothing to do.
+    fn new() -> Bench {
+        let settings = Rc::new(settings());
+        let grant = HolderRec {
+            holder: settings.label.clone(),
+            incarnation: Stamp(1),
+            term: Term(3),
+            teams: vec!["red".into(), "blue".into()],
+        };
+        let mut mirror = Mirror::default();
+        shard(&mut mirror, &["m-1"], 5);
+        let policy = Rc::new(standard());
+        let now = secs(1.0);
+        let mut h = Holder::new(BlockId(0), &grant, Stamp(4), &settings, &policy, now);
+        h.take_over(now, &mirror, &types());
+        Bench {
+            h,
+            mirror,
+            tally: 0,
+        }
+    }
+
+    fn report(&mut self, now: Micros) {
+        self.tally += 1;
+        let token = Token::of(Term(3), 0);
+        let r = report("m-1", 1, self.tally, token, &[]);
+        let fleet = Res::new(16.0, 0.0, 64.0);
+        self.h.check_in(now, now, fleet, now + secs(9.0), &r);
+        self.h.tick(now, now, fleet);
+    }
+
+    fn give_up(&mut self, now: Micros) -> Option<Write> {
+        match self.h.give_up(now, &self.mirror, &[], &[])? {
+            Effect::Txn(write, ..) => Some(write),
+            _ => None,
+        }
+    }
+}
+
+/// Seen as `ran_twice`: a machine was given up while a task of ours ran on it, so that
+/// the task was started elsewhere.
+#[test]
+fn an_answer_that_comes_after_the_shard_has_changed_gives_no_machine_up() {
+    let mut b = Bench::new();
+    for s in [2.0, 4.0, 100.0] {
+        b.report(secs(s));
+    }
+    let first = b.give_up(secs(100.0)).expect("idle, so it goes");
+    b.h.stored(secs(102.5), first, &Reply::Unknown);
+    b.report(secs(102.5));
+    let second = b.give_up(secs(103.0)).expect("once more");
+    // While that is out, somebody else changes the shard: both have failed.
+    shard(&mut b.mirror, &["m-1", "m-2"], 6);
+    b.h.sync_shard(secs(103.5), 0, &b.mirror, &types(), false);
+    let job = serde_json::to_value(rec("j-1", 1, Term(3))).expect("a record");
+    told(&mut b.mirror, keys::job(&"j-1".into()), job, 7);
+    b.h.sync_job(&"j-1".into(), &b.mirror);
+    b.report(secs(104.0));
+    assert_eq!(b.h.machines[&"m-1".into()].tries.len(), 1, "in use again");
+    b.h.stored(secs(105.5), second, &Reply::Unknown);
+    assert_eq!(b.give_up(secs(106.0)), None);
+    assert_eq!(b.h.machines[&"m-1".into()].leaving, Leaving::No);
+}
