A team whose job fails again and again counts the room as held

The design's watch item, left open until now: failing tasks hold no endowment, so a team with a mistaken job stayed the lightest, and its other work came before everybody's. Its heaviness now counts what the job's failed tasks request. Teams without such a job are weighed as before.

--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -72,6 +72,8 @@
     unreaped: BTreeMap<JobId, Vec<(MachineId, Key)>>,
     /// Jobs that machines show and that are not known here: over, most likely.
     strangers: BTreeMap<JobId, Stranger>,
+    /// Jobs that failed again and again; some may have got over it since.
+    failing: BTreeSet<JobId>,
     /// Jobs that may have something to be stored.
     dirty: BTreeSet<JobId>,
     /// Progress gives way to all other changes.
@@ -163,6 +165,7 @@
             counter: 0,
             unreaped: BTreeMap::new(),
             strangers: BTreeMap::new(),
+            failing: BTreeSet::new(),
             dirty: BTreeSet::new(),
             progress: Bucket::new(rate / policy.blocks(settings) as f64, now),
             errands: BTreeSet::new(),
@@ -418,6 +421,13 @@
             weights: &self.weights,
             rebuilding: self.rebuilding.as_ref(),
             picky: &self.picky,
+            failing: self
+                .failing
+                .iter()
+                .filter_map(|id| self.jobs.get(id))
+                .filter(|job| job.fails())
+                .map(|job| (job.team, job.failing()))
+                .collect(),
             heard_within: self.heard_within(),
         }
     }
@@ -472,6 +482,9 @@
             self.reports_of(1.4) + LOOK,
             self.silence(),
         );
+        let jobs = &self.jobs;
+        self.failing
+            .retain(|id| jobs.get(id).is_some_and(Job::fails));
         let (mut over, mut ended) = (Vec::new(), Vec::new());
         for (id, m) in &mut self.machines {
             let busy = m.unsettled || m.tries.values().any(|t| t.phase != Phase::Exited);
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -277,7 +277,8 @@
                 job.failed_on.insert(on.clone());
                 // One job that fails everywhere says nothing about machines, so it
                 // waits longer each time; several failing here condemn the machine.
-                if job.failed_on.len() >= 3 {
+                if job.fails() {
+                    self.failing.insert(key.0.job.clone());
                     job.not_before = now + Micros::from_millis(1000 << job.failures.min(5));
                 }
                 m.failed_jobs.insert(key.0.job.clone(), now);
@@ -285,7 +286,7 @@
                 let fair = m
                     .failed_jobs
                     .keys()
-                    .filter(|j| jobs.get(*j).is_none_or(|j| j.failed_on.len() < 3));
+                    .filter(|j| jobs.get(*j).is_none_or(|j| !j.fails()));
                 if fair.count() >= 2 && !m.draining {
                     tracing::info!(block = %self.block, machine = %on, "machine fails tasks of several jobs: drained");
                     m.draining = true;
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -344,6 +344,42 @@
     assert_eq!(w.running("j-2/0").len(), 1);
 }
 
+/// The design's watch item: failing tasks hold nothing, so that their team stayed the
+/// lightest.
+#[test]
+fn a_team_whose_job_fails_again_and_again_counts_the_room_as_held() {
+    let mut w = started(1, 4);
+    w.task_time = Some(crate::clock::Micros::from_secs(4.0));
+    w.mistaken.insert("j-1".into());
+    w.submit(&desc("j-1", 8));
+    w.pass(25.0);
+    assert!(w.returned.is_empty(), "no machine is blamed");
+    // Both need a whole machine, and there is one.
+    for at in 1..4 {
+        w.workers[at].cut = true;
+    }
+    w.cloud_down = true;
+    w.pass(8.0);
+    for (id, team) in [("j-2", "red"), ("j-3", "blue")] {
+        let mut whole = desc(id, 1);
+        whole.cores = 16.0;
+        whole.team = team.into();
+        w.submit(&whole);
+    }
+    let mut passed = 0;
+    while !w.started_ever("j-2") && !w.started_ever("j-3") {
+        w.pass(0.1);
+        passed += 1;
+        assert!(passed < 400, "one of them starts");
+    }
+    assert!(w.started_ever("j-3"), "the other team comes first");
+    w.pass(30.0);
+    assert!(w.started_ever("j-2"), "and its own healthy work after it");
+    w.cancel("j-1");
+    w.pass(10.0);
+    assert!(!w.workers.iter().any(|m| m.running("j-1/").count() > 0));
+}
+
 #[test]
 fn attempts_never_repeat_over_a_take_over() {
     let mut w = started(2, 1);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -20,6 +20,8 @@
 const PAGE: u32 = 1024;
 /// What a range may take as JSON, with room for the rest of its record.
 const RANGE_BYTES: f64 = 40.0;
+/// On so many machines a job must fail for it to be the job.
+const FAILS_ON: usize = 3;
 
 /// How many tasks a page of progress covers: even the worst pattern, every other
 /// task finished, stays below what a value may hold.
@@ -380,6 +382,18 @@
         true
     }
 
+    /// Its failures say something about it, not about machines: it failed on several,
+    /// and nothing of it has succeeded since.
+    pub fn fails(&self) -> bool {
+        !self.ended && self.failed_on.len() >= FAILS_ON
+    }
+
+    /// What its tasks that failed would hold.
+    pub fn failing(&self) -> Res {
+        let tasks = self.failures.min(self.waiting.len());
+        self.desc.request().scale(f64::from(tasks))
+    }
+
     /// The attempt is over without a result: the task waits again.
     pub fn requeue(&mut self, index: u32) {
         self.active.remove(&index);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,7 +14,7 @@
 pub use preempt::{Stop, preempt};
 
 use crate::clock::Micros;
-use crate::fairness::{Load, Res, Weights};
+use crate::fairness::{Load, Res, Weights, s};
 use crate::ids::{JobId, MachineId, Term};
 use crate::jobs::{ImageKey, Job, JobDesc};
 use crate::settings::Settings;
@@ -68,12 +68,18 @@
     pub heard_within: Micros,
     /// Waiting classes with little choice of machines.
     pub picky: &'a Picky,
+    /// By team, what its jobs that fail again and again would hold.
+    pub failing: Vec<(usize, Res)>,
 }
 
 impl Scene<'_> {
     fn heaviness(&self, weights: &Weights, team: usize) -> f64 {
         let guarantee = self.settings.platform.teams[team].guarantee();
-        weights.heaviness(team, guarantee, self.settings.guarantees(), self.fleet)
+        // Guards against a broken team that stays lightest (the design's watch item): its
+        // failing tasks are endowed with nothing, and so count the room as held.
+        let failing = self.failing.iter().filter(|(t, _)| *t == team);
+        let held: f64 = failing.map(|(_, res)| s(*res, self.fleet)).sum();
+        weights.heaviness(team, guarantee, self.settings.guarantees(), self.fleet) + held
     }
 }
 
