--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -5,9 +5,12 @@
 use crate::settings::tests::settings;
 use crate::workers::Orders;
 
+type Find = fn(&JobId) -> Found;
+type Answers = fn(&Ask) -> Reply;
+
 /// The users' side before a scripted store and core: what a transaction is answered,
 /// how jobs are found, and what a report is answered.
-fn api(view: View, store: fn(&Ask) -> Reply, find: fn(&JobId) -> Found, orders: Orders) -> Api {
+fn api(view: View, store: Answers, find: Find, orders: Orders) -> Api {
     let (questions, mut asked) = mpsc::channel::<Question>(16);
     let (reports, mut arrivals) = mpsc::channel::<Arrived>(16);
     let (asks, mut asking) = mpsc::channel::<Asked>(16);
@@ -90,7 +93,7 @@
     }
 }
 
-async fn submit(view: View, store: fn(&Ask) -> Reply, find: fn(&JobId) -> Found) -> Told {
+async fn submit(view: View, store: Answers, find: Find) -> Told {
     let api = api(view, store, find, orders(Micros::ZERO));
     api.submit(job().to_string().as_bytes()).await
 }
@@ -111,14 +114,14 @@
         teams: Vec::new(),
         ..view()
     };
-    let stores: [fn(&Ask) -> Reply; 4] = [
+    let stores: [Answers; 4] = [
         |_| Reply::Refused,
         |_| Reply::Unknown,
         // Its block changes hands all the time.
         |_| Reply::Conflict(vec!["r/blocks/0/holder".into()]),
         |_| Reply::Conflict(vec!["r/jobs/j-000412".into()]),
     ];
-    let finds: [(fn(&JobId) -> Found, Standing); 3] = [
+    let finds: [(Find, Standing); 3] = [
         (|_| live(), Standing::Running),
         (|_| ended(Standing::Done), Standing::Done),
         (|_| ended(Standing::Cancelled), Standing::Cancelled),
@@ -135,9 +138,9 @@
 
 #[tokio::test]
 async fn a_new_job_that_cant_be_taken_is_refused_once_that_is_known() {
-    let nothing: fn(&JobId) -> Found = |_| Found::Nothing;
-    let unreadable: fn(&JobId) -> Found = |_| Found::Unreadable;
-    let refused: fn(&Ask) -> Reply = |_| Reply::Refused;
+    let nothing: Find = |_| Found::Nothing;
+    let unreadable: Find = |_| Found::Unreadable;
+    let refused: Answers = |_| Reply::Refused;
     let types = |types| View { types, ..view() };
     let none = || types(Some(Arc::new(Vec::new())));
     assert_eq!(status(&submit(view(), refused, nothing).await).0, 503);
@@ -155,11 +158,11 @@
 async fn a_cancellation_that_meets_the_end_of_a_job_is_told_what_the_store_decided() {
     use std::sync::atomic::{AtomicBool, Ordering};
     static ENDED: AtomicBool = AtomicBool::new(false);
-    let lost: fn(&Ask) -> Reply = |_| {
+    let lost: Answers = |_| {
         ENDED.store(true, Ordering::Relaxed);
         Reply::Conflict(vec!["r/jobs/j-000412".into()])
     };
-    let find: fn(&JobId) -> Found = |_| {
+    let find: Find = |_| {
         if ENDED.load(Ordering::Relaxed) {
             ended(Standing::Done)
         } else {
@@ -202,7 +205,7 @@
     let report = json!({"rig": "m-1", "addr": "a:1", "build": "big", "yard": "x", "loaners": false,
         "shift": 1, "tally": 1, "baton": 0, "hands": []});
     let report = report.to_string();
-    let none: fn(&JobId) -> Found = |_| Found::Nothing;
+    let none: Find = |_| Found::Nothing;
     let within = api(
         view(),
         |_| Reply::Unknown,
