--- a/src/api/desk.rs
+++ b/src/api/desk.rs
@@ -8,7 +8,7 @@
 //! changes, so it is remembered.
 
 use crate::clock::Micros;
-use crate::ids::{JobId, Stamp};
+use crate::ids::{JobId, Revision};
 use crate::jobs::{EndedRec, Footprint, Standing};
 use crate::store::Reply;
 use crate::store::mirror::Mirror;
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Found {
     Live {
-        stamp: Stamp,
+        revision: Revision,
         standing: Standing,
         tasks: u32,
         footprint: Footprint,
@@ -137,14 +137,14 @@
 }
 
 fn live(id: &JobId, mirror: &Mirror) -> Option<Found> {
-    let (stamp, rec) = mirror.jobs.get(id)?;
+    let (revision, rec) = mirror.jobs.get(id)?;
     let (mut done, mut running) = (0, 0);
     for (_, _, page) in mirror.progress(id) {
         done += page.done.iter().map(|(a, b)| b - a).sum::<u32>();
         running += page.running;
     }
     Some(Found::Live {
-        stamp: *stamp,
+        revision: *revision,
         standing: if running > 0 {
             Standing::Running
         } else {
--- a/src/api/desk/tests.rs
+++ b/src/api/desk/tests.rs
@@ -25,11 +25,11 @@
     let mut d = Desk::default();
     let mut mirror = Mirror::default();
     let rec = crate::jobs::tests::rec("j-1", 4, crate::ids::Term(1));
-    let change = |set: &str, value, stamp| Change {
+    let change = |set: &str, value, revision| Change {
         set: Some(set.into()),
         delete: None,
         value,
-        stamp: Stamp(stamp),
+        revision: Revision(revision),
     };
     let value = serde_json::to_value(&rec).expect("a record");
     mirror.change(change("r/jobs/j-1", value, 3));
@@ -61,7 +61,7 @@
     let row = Row {
         key: "ended/j-2".into(),
         value: serde_json::json!({"standing": "done", "tasks": 4}),
-        stamp: Stamp(5),
+        revision: Revision(5),
     };
     assert_eq!(d.ended("j-2".into(), &Reply::Found(row)).len(), 100);
     let told = d.ask(secs(9.0), "j-2".into(), 1, false);
--- a/src/api/gate.rs
+++ b/src/api/gate.rs
@@ -129,7 +129,7 @@
 
     fn admit(&self) -> FuseAction {
         // Guards against an accept that fails for want of a socket: the store, the
-        // cloud and direct words would fail with it, and nobody would be refused.
+        // cloud and direct commands would fail with it, and nobody would be refused.
         if self.open.load(Ordering::Relaxed) >= self.served {
             return FuseAction::Reject;
         }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -6,7 +6,7 @@
 use crate::clock::{Steady, time_of_day};
 use crate::controller::core::{Answer, View};
 use crate::controller::{Arrived, Asked, Cancelled, Question};
-use crate::ids::{JobId, Stamp};
+use crate::ids::{JobId, Revision};
 use crate::jobs::{EndedRec, JobDesc, JobRec, Refusal, Standing};
 use crate::settings::Settings;
 use crate::settings::sockets::Sockets;
@@ -151,8 +151,8 @@
                 born,
             };
             let conds = vec![
-                cond(keys::job(&job.id), Stamp(0)),
-                cond(keys::ended(&job.id), Stamp(0)),
+                cond(keys::job(&job.id), Revision(0)),
+                cond(keys::ended(&job.id), Revision(0)),
                 // Under this grant: a later holder knows whether an earlier one can
                 // have started it.
                 cond(keys::holder(block), grant),
@@ -211,13 +211,13 @@
             return Told::No(404, "no such job".into());
         }
         for _ in 0..TRIES {
-            let (stamp, tasks, footprint) = match self.find(&id).await {
+            let (revision, tasks, footprint) = match self.find(&id).await {
                 Found::Live {
-                    stamp,
+                    revision,
                     tasks,
                     footprint,
                     ..
-                } => (stamp, tasks, footprint),
+                } => (revision, tasks, footprint),
                 Found::Nothing => return Told::No(404, "no such job".into()),
                 Found::Unreadable => return NO_STORE,
                 found => return known(found, &id),
@@ -228,8 +228,8 @@
                 footprint: Some(footprint),
             };
             let conds = vec![
-                cond(keys::job(&id), stamp),
-                cond(keys::ended(&id), Stamp(0)),
+                cond(keys::job(&id), revision),
+                cond(keys::ended(&id), Revision(0)),
             ];
             let ops = vec![
                 store::delete(keys::job(&id)),
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -48,13 +48,13 @@
 fn view() -> View {
     View {
         types: Some(Arc::new(types())),
-        teams: vec![(BlockId(0), Stamp(3), Term(1)); 2],
+        teams: vec![(BlockId(0), Revision(3), Term(1)); 2],
         healthy: true,
     }
 }
 
 fn orders(until: Micros) -> Orders {
-    let baton = crate::ids::Token(7);
+    let baton = crate::ids::FencingToken(7);
     let orders = Vec::new();
     Orders {
         baton,
@@ -74,7 +74,7 @@
 fn live() -> Found {
     let rec = crate::jobs::tests::rec("j-000412", 4, Term(1));
     Found::Live {
-        stamp: Stamp(5),
+        revision: Revision(5),
         standing: Standing::Running,
         tasks: 4,
         footprint: rec.desc.footprint(),
@@ -148,7 +148,7 @@
     assert_eq!(status(&submit(none(), refused, nothing).await).0, 422);
     // It may have been accepted before: that can't be told now.
     assert_eq!(status(&submit(none(), refused, unreadable).await).0, 503);
-    let told = submit(view(), |_| Reply::Committed(Stamp(9)), nothing).await;
+    let told = submit(view(), |_| Reply::Committed(Revision(9)), nothing).await;
     assert_eq!(status(&told), (201, Some(Standing::Pending)));
 }
 
@@ -177,7 +177,7 @@
     assert_eq!(status(&unsure.abort("j-000412").await).0, 503);
     let won = api(
         view(),
-        |_| Reply::Committed(Stamp(9)),
+        |_| Reply::Committed(Revision(9)),
         |_| live(),
         orders(Micros::ZERO),
     );
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -10,7 +10,7 @@
 use crate::clock::Micros;
 use crate::fairness::{Res, Weights};
 use crate::fleet::MachineType;
-use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
 use crate::jobs::{Job, page_tasks};
 use crate::placement::{self, Coming, Need, Picky, Queues, Rebuilding, Scene};
 use crate::policy::Policy;
@@ -51,7 +51,7 @@
 pub struct Holder {
     pub block: BlockId,
     pub term: Term,
-    stamp: Stamp,
+    revision: Revision,
     me: Label,
     settings: Rc<Settings>,
     policy: Rc<Policy>,
@@ -139,7 +139,7 @@
     pub fn new(
         block: BlockId,
         rec: &HolderRec,
-        stamp: Stamp,
+        revision: Revision,
         settings: &Rc<Settings>,
         policy: &Rc<Policy>,
         now: Micros,
@@ -150,7 +150,7 @@
         Holder {
             block,
             term: rec.term,
-            stamp,
+            revision,
             me: settings.label.clone(),
             settings: settings.clone(),
             policy: policy.clone(),
@@ -260,14 +260,14 @@
                 }
             }
         }
-        let Some((stamp, rec)) = mirror.machines.get(&(self.block, shard)) else {
+        let Some((revision, rec)) = mirror.machines.get(&(self.block, shard)) else {
             return;
         };
         for (id, r) in rec.0.iter().filter(|(_, r)| r.freed.is_none()) {
             if let Some(m) = self.machines.get_mut(id) {
                 m.shard = shard;
                 m.used |= r.used;
-                if m.leaving == Leaving::Unsure && *stamp > m.left_at {
+                if m.leaving == Leaving::Unsure && *revision > m.left_at {
                     // The shard has changed since: the late write fails by itself.
                     m.leaving = Leaving::No;
                 }
@@ -292,7 +292,7 @@
 
     /// A job changed in the store.
     pub fn sync_job(&mut self, id: &JobId, mirror: &Mirror) {
-        let Some((stamp, rec)) = mirror.jobs.get(id) else {
+        let Some((revision, rec)) = mirror.jobs.get(id) else {
             if let Some(job) = self.jobs.remove(id) {
                 self.stir = true;
                 self.unreaped.remove(id);
@@ -311,11 +311,11 @@
             return;
         }
         let page = page_tasks(self.settings.platform.state.value_kb);
-        let mut job = Job::new(rec, *stamp, team, page);
+        let mut job = Job::new(rec, *revision, team, page);
         job.starts_within = self.settings.starts_within(&rec.desc.class);
         job.choose(self.policy.job(&rec.desc));
-        for (n, stamp, rec) in mirror.progress(id) {
-            job.recall(n, stamp, rec);
+        for (n, revision, rec) in mirror.progress(id) {
+            job.recall(n, revision, rec);
         }
         // A job whose last task was stored but not its end is ended by us.
         self.dirty.insert(id.clone());
@@ -326,10 +326,10 @@
     /// A page of a job's progress changed: by our own write, one without an answer
     /// included.
     pub fn sync_page(&mut self, id: &JobId, page: u32, mirror: &Mirror) {
-        if let Some((stamp, _)) = mirror.pages.get(&(id.clone(), page))
+        if let Some((revision, _)) = mirror.pages.get(&(id.clone(), page))
             && let Some(job) = self.jobs.get_mut(id)
         {
-            job.page_changed(page, *stamp);
+            job.page_changed(page, *revision);
         }
     }
 
@@ -503,8 +503,9 @@
             }
             if let Some(at) = m.taken_at {
                 // What saves does so just before the cloud takes the machine.
-                let saves =
-                    |t: &crate::workers::Try| t.desc.as_ref().map(|d| (d.checkpoint_s, d.save_s));
+                let saves = |t: &crate::workers::Attempt| {
+                    t.desc.as_ref().map(|d| (d.checkpoint_s, d.save_s))
+                };
                 let due: Vec<(Key, f64)> = m
                     .tries
                     .iter()
@@ -560,7 +561,7 @@
         );
         let silent = |m: &Machine| match m.last_heard {
             Some(h) => now.since(h.max(listening).max(m.added)) > silence,
-            // Old jobs wait for it, and a live one answers our direct word at once.
+            // Old jobs wait for it, and a live one answers our direct command at once.
             None if m.unsettled => now.since(m.added.max(listening)) > unsettled,
             None => now.since(m.added) > NEVER_HEARD,
         };
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -3,7 +3,7 @@
 use super::{Effect, Freed, Holder, MachinesRec, Resigning, Write};
 use crate::blocks::HolderRec;
 use crate::clock::Micros;
-use crate::ids::{JobId, MachineId, Stamp};
+use crate::ids::{JobId, MachineId, Revision};
 use crate::placement::{self, Need};
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, Reply, TXN_BYTES, cond, keys};
@@ -12,7 +12,7 @@
 /// A job's progress is batched for this long, and longer where all blocks' progress
 /// would take more of the store's changes than its part.
 const PROGRESS_GAP: Micros = Micros::from_millis(2_000);
-/// After a write that was refused or had no answer; the watch tells the stamps.
+/// After a write that was refused or had no answer; the watch tells the revisions.
 const AGAIN: Micros = Micros::from_millis(400);
 const OPEN_GAP: Micros = Micros::from_millis(700);
 const LEAST_CHARGED: Micros = Micros::from_millis(60_000);
@@ -51,7 +51,7 @@
     }
 
     fn own(&self) -> Cond {
-        cond(keys::holder(self.block), self.stamp)
+        cond(keys::holder(self.block), self.revision)
     }
 
     fn write_ends(&mut self, ends: Vec<JobId>) -> Option<Effect> {
@@ -170,16 +170,16 @@
         };
         job.writing = false;
         match reply {
-            Reply::Committed(stamp) => {
+            Reply::Committed(revision) => {
                 for page in pages {
-                    job.page_changed(*page, *stamp);
+                    job.page_changed(*page, *revision);
                 }
             }
             // A job's record never changes while the job lives: it was cancelled, or
             // ended by our own write that had no answer. The watch will take it out;
             // until then nothing of it starts.
             Reply::Conflict(failed) if failed.contains(&keys::job(id)) => self.cancelled(id),
-            // Not carried out, or perhaps late: either way the stamps decide, and the
+            // Not carried out, or perhaps late: either way the revisions decide, and the
             // watch tells them.
             _ => {
                 job.unwritten(pages);
@@ -216,7 +216,7 @@
     ) -> Option<Effect> {
         let (mut ids, mut conds, mut ops, mut bytes) = (vec![], vec![self.own()], vec![], 0);
         let most = self.settings.most_changes();
-        for (n, stamp, old) in mirror.shards(self.block) {
+        for (n, revision, old) in mirror.shards(self.block) {
             if ops.len() >= most || bytes > TXN_BYTES {
                 break;
             }
@@ -227,7 +227,7 @@
                 };
                 let mut rec = old_rec.clone();
                 if change(id, m, &mut rec) {
-                    m.left_at = stamp;
+                    m.left_at = revision;
                     new.get_or_insert_with(|| (**old).clone())
                         .0
                         .insert(id.clone(), rec);
@@ -237,7 +237,7 @@
             if let Some(new) = new {
                 let key = keys::machines(self.block, n);
                 bytes += new.size();
-                conds.push(cond(key.clone(), stamp));
+                conds.push(cond(key.clone(), revision));
                 ops.push(store::set(key, &new));
             }
         }
@@ -366,7 +366,7 @@
             .collect();
         let rec = HolderRec {
             holder: self.me.clone(),
-            incarnation: Stamp(0),
+            incarnation: Revision(0),
             term: self.term,
             teams,
         };
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -6,7 +6,7 @@
 use crate::ids::{JobId, MachineId};
 use crate::jobs::EndedRec;
 use crate::store::Reply;
-use crate::workers::{Cause, Event, Key, Leaving, Orders, Phase, Report, Try};
+use crate::workers::{Attempt, Cause, Event, Key, Leaving, Orders, Phase, Report};
 use std::collections::btree_map::Entry;
 
 /// Records of ended jobs that are read at once.
@@ -162,7 +162,7 @@
     fn adopt(&mut self, now: Micros, on: &MachineId, key: Key, phase: Phase, cause: Option<Cause>) {
         let job = self.jobs.get_mut(&key.0.job);
         let index = key.0.index;
-        let mut t = Try::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
+        let mut t = Attempt::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
         t.cause = cause;
         if t.takes.is_none() && phase != Phase::Exited {
             match self.strangers.entry(key.0.job.clone()) {
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -3,9 +3,9 @@
 use super::{Effect, Holder};
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::ids::{Attempt, MachineId, TaskId};
+use crate::ids::{AttemptId, MachineId, TaskId};
 use crate::placement::{self, Choice, Floor, Placed};
-use crate::workers::{Direct, Leaving, Phase, Try};
+use crate::workers::{Attempt, Direct, Leaving, Phase};
 
 /// After an attempt to connect failed.
 pub(super) const DIRECT_AGAIN: Micros = Micros::from_millis(1_000);
@@ -18,7 +18,7 @@
 const PASS_REACH: usize = 400;
 const REFILL_REACH: usize = 48;
 const PREEMPT_GAP: Micros = Micros::from_millis(500);
-/// Direct words that are out at once.
+/// Direct commands that are out at once.
 const MOST_DIRECTS: usize = 48;
 
 impl Holder {
@@ -91,7 +91,7 @@
     fn start(&mut self, now: Micros, day: Micros, choices: Vec<Choice>, tell: bool) {
         for c in choices {
             self.counter += 1;
-            let attempt = Attempt::of(self.term, self.counter);
+            let attempt = AttemptId::of(self.term, self.counter);
             let (Some(job), Some(m)) =
                 (self.jobs.get_mut(&c.job), self.machines.get_mut(&c.machine))
             else {
@@ -99,7 +99,7 @@
             };
             job.start(c.index, c.machine.clone());
             job.last_start = day;
-            let t = Try::new(Phase::Launching, now, Some((job.team, &job.desc)));
+            let t = Attempt::new(Phase::Launching, now, Some((job.team, &job.desc)));
             m.images.insert(job.desc.image_key());
             if let Some(r) = m.reserved.iter_mut().find(|r| r.job == c.job) {
                 r.count = r.count.saturating_sub(1);
@@ -165,7 +165,7 @@
             // behind a cut, and the machine's own next report does as well.
             let introduce = m.unsettled && m.introductions <= 1;
             let reachable = m.quiet() && m.last_heard.is_some_and(|h| now.since(h) < heard_within);
-            let word = m.wants_word() && (reachable && m.shift > 0 || m.doubt);
+            let word = m.wants_command() && (reachable && m.shift > 0 || m.doubt);
             if !introduce && !word || m.addr.is_empty() {
                 if !m.direct_out {
                     done.push(id.clone());
@@ -176,9 +176,9 @@
                 continue;
             }
             m.introductions += u32::from(introduce);
-            m.word_sent();
+            m.command_sent();
             m.direct_after = now + DIRECT_GAP;
-            // A direct word goes out under the token that was shown; orders only
+            // A direct command goes out under the token that was shown; orders only
             // to those whose picture counts.
             let orders = if reachable {
                 m.orders(false)
@@ -200,5 +200,5 @@
     }
 }
 
-/// Between two direct words to one machine.
+/// Between two direct commands to one machine.
 const DIRECT_GAP: Micros = Micros::from_millis(150);
--- a/src/blocks/holder/tests.rs
+++ b/src/blocks/holder/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::blocks::MachineRec;
-use crate::ids::Token;
+use crate::ids::FencingToken;
 use crate::jobs::tests::{rec, types};
 use crate::policy::tests::standard;
 use crate::settings::tests::settings;
@@ -12,16 +12,16 @@
 }
 
 /// The store's newest word on a key.
-fn told(mirror: &mut Mirror, key: String, value: serde_json::Value, stamp: u64) {
+fn told(mirror: &mut Mirror, key: String, value: serde_json::Value, revision: u64) {
     mirror.change(Change {
         set: Some(key),
         delete: None,
         value,
-        stamp: Stamp(stamp),
+        revision: Revision(revision),
     });
 }
 
-fn shard(mirror: &mut Mirror, machines: &[&str], stamp: u64) {
+fn shard(mirror: &mut Mirror, machines: &[&str], revision: u64) {
     let used = |id: &&str| {
         let mut rec = MachineRec::blank("10.1.0.1:9000".into(), "big", "x", false);
         rec.used = true;
@@ -29,7 +29,7 @@
     };
     let rec = MachinesRec(machines.iter().map(used).collect());
     let value = serde_json::to_value(rec).expect("a record");
-    told(mirror, keys::machines(BlockId(0), 0), value, stamp);
+    told(mirror, keys::machines(BlockId(0), 0), value, revision);
 }
 
 struct Bench {
@@ -44,7 +44,7 @@
         let settings = Rc::new(settings());
         let grant = HolderRec {
             holder: settings.label.clone(),
-            incarnation: Stamp(1),
+            incarnation: Revision(1),
             term: Term(3),
             teams: vec!["red".into(), "blue".into()],
         };
@@ -52,7 +52,7 @@
         shard(&mut mirror, &["m-1"], 5);
         let policy = Rc::new(standard());
         let now = secs(1.0);
-        let mut h = Holder::new(BlockId(0), &grant, Stamp(4), &settings, &policy, now);
+        let mut h = Holder::new(BlockId(0), &grant, Revision(4), &settings, &policy, now);
         h.take_over(now, &mirror, &types());
         Bench {
             h,
@@ -63,7 +63,7 @@
 
     fn report(&mut self, now: Micros) {
         self.tally += 1;
-        let token = Token::of(Term(3), 0);
+        let token = FencingToken::of(Term(3), 0);
         let r = report("m-1", 1, self.tally, token, &[]);
         let fleet = Res::new(16.0, 0.0, 64.0);
         self.h.check_in(now, now, fleet, now + secs(9.0), &r);
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -3,7 +3,7 @@
 
 use super::{HolderRec, TermRec};
 use crate::clock::Micros;
-use crate::ids::{BlockId, Label, Stamp, Term};
+use crate::ids::{BlockId, Label, Revision, Term};
 use crate::settings::Settings;
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, cond, keys};
@@ -21,22 +21,22 @@
 }
 
 /// A change of the store that only the leader may make.
-pub fn as_leader(mirror: &Mirror, label: &Label, incarnation: Option<Stamp>) -> Option<Cond> {
-    let (stamp, rec) = mirror.leader.as_ref()?;
+pub fn as_leader(mirror: &Mirror, label: &Label, incarnation: Option<Revision>) -> Option<Cond> {
+    let (revision, rec) = mirror.leader.as_ref()?;
     (rec.holder == *label && Some(rec.incarnation) == incarnation)
-        .then(|| cond(keys::LEADER.into(), *stamp))
+        .then(|| cond(keys::LEADER.into(), *revision))
 }
 
 /// Takes the next `n` terms: the first, and the write that makes them ours.
 pub fn take_terms(mirror: &Mirror, n: u64) -> (Term, Cond, Op) {
-    let (stamp, rec) = mirror.term;
+    let (revision, rec) = mirror.term;
     let op = store::set(
         keys::TERM.into(),
         &TermRec {
             last: Term(rec.last.0 + n),
         },
     );
-    (Term(rec.last.0 + 1), cond(keys::TERM.into(), stamp), op)
+    (Term(rec.last.0 + 1), cond(keys::TERM.into(), revision), op)
 }
 
 /// Grants every block that nobody alive holds, in one transaction.
@@ -100,7 +100,7 @@
         if !conds.contains(&member) {
             conds.push(member);
         }
-        conds.push(cond(keys::holder(b), mirror.holder_stamp(b)));
+        conds.push(cond(keys::holder(b), mirror.holder_revision(b)));
         ops.push(store::set(keys::holder(b), &rec));
     }
     Some((conds, ops))
@@ -121,7 +121,7 @@
 pub fn candidacy(
     mirror: &Mirror,
     label: &Label,
-    incarnation: Stamp,
+    incarnation: Revision,
     without_since: Micros,
     now: Micros,
     standing: Standing,
--- a/src/blocks/leader/tests.rs
+++ b/src/blocks/leader/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::blocks::{LeaderRec, MemberRec};
-use crate::ids::Tenure;
+use crate::ids::LeaseId;
 use crate::settings::tests::settings;
 
 fn mirror(members: &[(&str, u64)]) -> Mirror {
@@ -9,19 +9,20 @@
         ..Mirror::default()
     };
     m.leader = Some((
-        Stamp(5),
+        Revision(5),
         LeaderRec {
             holder: Label::from("c0"),
-            incarnation: Stamp(1),
+            incarnation: Revision(1),
         },
     ));
-    m.term = (Stamp(4), TermRec { last: Term(9) });
-    for (label, stamp) in members {
+    m.term = (Revision(4), TermRec { last: Term(9) });
+    for (label, revision) in members {
         let rec = MemberRec {
             addr: String::new(),
-            tenure: Tenure(*stamp),
+            lease_id: LeaseId(*revision),
         };
-        m.members.insert(Label::from(*label), (Stamp(*stamp), rec));
+        m.members
+            .insert(Label::from(*label), (Revision(*revision), rec));
     }
     m
 }
@@ -31,7 +32,7 @@
     blocks: u64,
     fit: &dyn Fn(&Label) -> bool,
 ) -> Option<(Vec<Cond>, Vec<Op>)> {
-    let leader = as_leader(m, &settings().label, Some(Stamp(1)))?;
+    let leader = as_leader(m, &settings().label, Some(Revision(1)))?;
     grants(m, leader, &settings(), blocks, fit)
 }
 
@@ -55,9 +56,9 @@
     assert_eq!(g.len(), 2);
     assert_ne!(g[0].1.holder, g[1].1.holder);
     assert_eq!((g[0].1.term, g[1].1.term), (Term(10), Term(11)));
-    assert!(conds.contains(&cond("r/leader".into(), Stamp(5))));
-    assert!(conds.contains(&cond("r/term".into(), Stamp(4))));
-    assert!(conds.contains(&cond("r/members/c1".into(), Stamp(2))));
+    assert!(conds.contains(&cond("r/leader".into(), Revision(5))));
+    assert!(conds.contains(&cond("r/term".into(), Revision(4))));
+    assert!(conds.contains(&cond("r/members/c1".into(), Revision(2))));
     let teams: Vec<_> = g.iter().flat_map(|(_, r)| r.teams.clone()).collect();
     assert_eq!(teams, vec!["red", "blue"], "each team in exactly one block");
 }
@@ -68,18 +69,18 @@
     // c1 came back as a new incarnation: its old grant is void.
     let old = HolderRec {
         holder: "c1".into(),
-        incarnation: Stamp(2),
+        incarnation: Revision(2),
         term: Term(7),
         teams: vec!["red".into(), "blue".into()],
     };
-    m.holders.insert(BlockId(0), (Stamp(8), old));
+    m.holders.insert(BlockId(0), (Revision(8), old));
     let (conds, ops) = try_grants(&m, 1, &|l| l.as_str() == "c0").expect("grants");
     let g = granted(&ops);
     assert_eq!(
         (g[0].1.holder.as_str(), g[0].1.term, g[0].1.teams.len()),
         ("c0", Term(10), 2)
     );
-    assert!(conds.contains(&cond("r/blocks/0/holder".into(), Stamp(8))));
+    assert!(conds.contains(&cond("r/blocks/0/holder".into(), Revision(8))));
 }
 
 #[test]
@@ -87,17 +88,17 @@
     let mut m = mirror(&[("c0", 1)]);
     let held = HolderRec {
         holder: "c0".into(),
-        incarnation: Stamp(1),
+        incarnation: Revision(1),
         term: Term(7),
         teams: vec![],
     };
-    m.holders.insert(BlockId(0), (Stamp(8), held));
+    m.holders.insert(BlockId(0), (Revision(8), held));
     assert_eq!(try_grants(&m, 1, &|_| true), None);
     m.leader = Some((
-        Stamp(6),
+        Revision(6),
         LeaderRec {
             holder: "c1".into(),
-            incarnation: Stamp(2),
+            incarnation: Revision(2),
         },
     ));
     m.holders.clear();
@@ -108,11 +109,11 @@
     let mut m = mirror(&[("c0", 1), ("c1", 2)]);
     let back = HolderRec {
         holder: "c1".into(),
-        incarnation: Stamp(0),
+        incarnation: Revision(0),
         term: Term(7),
         teams: vec!["red".into(), "blue".into()],
     };
-    m.holders.insert(BlockId(0), (Stamp(8), back));
+    m.holders.insert(BlockId(0), (Revision(8), back));
     // Nobody is heard by the leader just now.
     let (_, ops) = try_grants(&m, 1, &|_| false).expect("grants");
     assert_eq!(granted(&ops)[0].1.holder.as_str(), "c0");
--- a/src/blocks/lease.rs
+++ b/src/blocks/lease.rs
@@ -1,7 +1,7 @@
 //! A lease of the state service that is kept up while it is wanted.
 
 use crate::clock::Micros;
-use crate::ids::Tenure;
+use crate::ids::LeaseId;
 use crate::store::{Reply, Request};
 
 /// The leader's own lease. It is shorter than a member's: losing it stops only
@@ -9,7 +9,7 @@
 #[derive(Debug)]
 pub struct Lease {
     life: Micros,
-    tenure: Option<Tenure>,
+    lease_id: Option<LeaseId>,
     renewed: Micros,
     out: Option<Micros>,
     not_before: Micros,
@@ -21,7 +21,7 @@
     pub fn new(life: Micros) -> Self {
         Lease {
             life,
-            tenure: None,
+            lease_id: None,
             renewed: Micros::ZERO,
             out: None,
             not_before: Micros::ZERO,
@@ -34,8 +34,8 @@
             return None;
         }
         self.out = Some(now);
-        Some(match self.tenure {
-            Some(tenure) => Request::Renew { tenure },
+        Some(match self.lease_id {
+            Some(lease_id) => Request::Renew { lease_id },
             None => Request::NewLease { life: self.life },
         })
     }
@@ -44,8 +44,8 @@
         let sent = self.out.take().unwrap_or(now);
         self.not_before = now + AGAIN;
         match reply {
-            Reply::Leased(tenure) => {
-                self.tenure = Some(*tenure);
+            Reply::Leased(lease_id) => {
+                self.lease_id = Some(*lease_id);
                 self.renewed = sent;
             }
             Reply::Done => {
@@ -53,7 +53,7 @@
                 self.not_before = now + Micros(self.life.0 / 4);
             }
             Reply::LeaseGone => {
-                self.tenure = None;
+                self.lease_id = None;
                 self.not_before = now;
             }
             _ => {}
@@ -61,8 +61,8 @@
     }
 
     /// The lease, if it has surely not ended yet.
-    pub fn alive(&self, now: Micros) -> Option<Tenure> {
-        self.tenure
+    pub fn alive(&self, now: Micros) -> Option<LeaseId> {
+        self.lease_id
             .filter(|_| now.since(self.renewed) < Micros(self.life.0 * 3 / 4))
     }
 }
--- a/src/blocks/lease/tests.rs
+++ b/src/blocks/lease/tests.rs
@@ -5,15 +5,20 @@
     let mut l = Lease::new(Micros::from_secs(6.0));
     let t = Micros::from_secs(1.0);
     assert!(matches!(l.step(t), Some(Request::NewLease { .. })));
-    l.reply(t, &Reply::Leased(Tenure(3)));
-    assert_eq!(l.alive(t), Some(Tenure(3)));
+    l.reply(t, &Reply::Leased(LeaseId(3)));
+    assert_eq!(l.alive(t), Some(LeaseId(3)));
     assert_eq!(
         l.alive(Micros::from_secs(6.0)),
         None,
         "counted from when it was sent"
     );
     let t = Micros::from_secs(2.0);
-    assert_eq!(l.step(t), Some(Request::Renew { tenure: Tenure(3) }));
+    assert_eq!(
+        l.step(t),
+        Some(Request::Renew {
+            lease_id: LeaseId(3)
+        })
+    );
     l.reply(t, &Reply::LeaseGone);
     assert_eq!(l.alive(t), None);
     assert!(matches!(l.step(t), Some(Request::NewLease { .. })));
--- a/src/blocks/member.rs
+++ b/src/blocks/member.rs
@@ -2,22 +2,22 @@
 
 use super::MemberRec;
 use crate::clock::Micros;
-use crate::ids::{Label, Stamp, Tenure};
+use crate::ids::{Label, LeaseId, Revision};
 use crate::store::{self, Reply, Request, cond, keys};
 
 #[derive(Debug, Clone, PartialEq)]
 enum State {
     /// Looking for what an earlier incarnation left.
     Start,
-    Ending(Tenure),
+    Ending(LeaseId),
     Leasing,
     Registering {
-        tenure: Tenure,
+        lease_id: LeaseId,
         leased: Micros,
     },
     In {
-        tenure: Tenure,
-        incarnation: Stamp,
+        lease_id: LeaseId,
+        incarnation: Revision,
         renewed: Micros,
     },
 }
@@ -58,20 +58,24 @@
             State::Start => Request::Get {
                 key: keys::member(&self.label),
             },
-            State::Ending(tenure) => Request::EndLease { tenure: *tenure },
+            State::Ending(lease_id) => Request::EndLease {
+                lease_id: *lease_id,
+            },
             State::Leasing => Request::NewLease { life: self.lease },
-            State::Registering { tenure, .. } => {
+            State::Registering { lease_id, .. } => {
                 let rec = MemberRec {
                     addr: self.addr.clone(),
-                    tenure: *tenure,
+                    lease_id: *lease_id,
                 };
                 let key = keys::member(&self.label);
                 Request::Txn {
-                    conds: vec![cond(key.clone(), Stamp(0))],
-                    ops: vec![store::set_leased(key, &rec, *tenure)],
+                    conds: vec![cond(key.clone(), Revision(0))],
+                    ops: vec![store::set_leased(key, &rec, *lease_id)],
                 }
             }
-            State::In { tenure, .. } => Request::Renew { tenure: *tenure },
+            State::In { lease_id, .. } => Request::Renew {
+                lease_id: *lease_id,
+            },
         };
         self.out = Some(now);
         Some(request)
@@ -86,18 +90,18 @@
             // needs to wait for its lease.
             (State::Start, Reply::Found(row)) => {
                 match serde_json::from_value::<MemberRec>(row.value.clone()) {
-                    Ok(rec) => State::Ending(rec.tenure),
+                    Ok(rec) => State::Ending(rec.lease_id),
                     Err(_) => State::Leasing,
                 }
             }
             (State::Ending(_), Reply::Done | Reply::LeaseGone) => State::Start,
-            (State::Leasing, Reply::Leased(tenure)) => State::Registering {
-                tenure: *tenure,
+            (State::Leasing, Reply::Leased(lease_id)) => State::Registering {
+                lease_id: *lease_id,
                 leased: sent,
             },
-            (State::Registering { tenure, leased }, Reply::Committed(stamp)) => State::In {
-                tenure: *tenure,
-                incarnation: *stamp,
+            (State::Registering { lease_id, leased }, Reply::Committed(revision)) => State::In {
+                lease_id: *lease_id,
+                incarnation: *revision,
                 renewed: *leased,
             },
             // No answer to the registration, or our own late one: look again.
@@ -107,7 +111,7 @@
             (State::In { .. }, Reply::LeaseGone) => State::Start,
             (
                 State::In {
-                    tenure,
+                    lease_id,
                     incarnation,
                     ..
                 },
@@ -116,7 +120,7 @@
                 self.not_before = now + Micros(self.lease.0 / 6);
                 // From when it was sent: the store may have counted from then on.
                 State::In {
-                    tenure: *tenure,
+                    lease_id: *lease_id,
                     incarnation: *incarnation,
                     renewed: sent,
                 }
@@ -128,16 +132,16 @@
         };
     }
 
-    pub fn incarnation(&self) -> Option<Stamp> {
+    pub fn incarnation(&self) -> Option<Revision> {
         match self.state {
             State::In { incarnation, .. } => Some(incarnation),
             _ => None,
         }
     }
 
-    pub fn tenure(&self) -> Option<Tenure> {
+    pub fn lease_id(&self) -> Option<LeaseId> {
         match self.state {
-            State::In { tenure, .. } => Some(tenure),
+            State::In { lease_id, .. } => Some(lease_id),
             _ => None,
         }
     }
--- a/src/blocks/member/tests.rs
+++ b/src/blocks/member/tests.rs
@@ -14,9 +14,9 @@
     m.step(now).expect("a look");
     m.reply(now, &Reply::Missing);
     m.step(now).expect("a lease");
-    m.reply(now, &Reply::Leased(Tenure(7)));
+    m.reply(now, &Reply::Leased(LeaseId(7)));
     m.step(now).expect("a registration");
-    m.reply(now, &Reply::Committed(Stamp(42)));
+    m.reply(now, &Reply::Committed(Revision(42)));
 }
 
 #[test]
@@ -29,16 +29,18 @@
         &Reply::Found(Row {
             key: "r/members/c0".into(),
             value,
-            stamp: Stamp(9),
+            revision: Revision(9),
         }),
     );
     assert_eq!(
         m.step(Micros(3)),
-        Some(Request::EndLease { tenure: Tenure(3) })
+        Some(Request::EndLease {
+            lease_id: LeaseId(3)
+        })
     );
     m.reply(Micros(4), &Reply::Done);
     join(&mut m, Micros(5));
-    assert_eq!(m.incarnation(), Some(Stamp(42)));
+    assert_eq!(m.incarnation(), Some(Revision(42)));
 }
 
 #[test]
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -5,7 +5,7 @@
 pub mod lease;
 pub mod member;
 
-use crate::ids::{BlockId, Label, MachineId, Stamp, Tenure, Term};
+use crate::ids::{BlockId, Label, LeaseId, MachineId, Revision, Term};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -16,27 +16,28 @@
 }
 
 /// A controller that takes part, attached to its own lease. The key is written
-/// once per incarnation, so its stamp names the incarnation.
+/// once per incarnation, so its revision names the incarnation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MemberRec {
     pub addr: String,
-    pub tenure: Tenure,
+    #[serde(rename = "tenure")]
+    pub lease_id: LeaseId,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRec {
     pub holder: Label,
-    /// Of the holder, by its member key's stamp: names given out under one
+    /// Of the holder, by its member key's revision: names given out under one
     /// leadership are never used by the next, even of the same controller.
-    pub incarnation: Stamp,
+    pub incarnation: Revision,
 }
 
 /// Who holds a block. Valid while that incarnation's member lease lives.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HolderRec {
     pub holder: Label,
-    /// Stamp 0: handed back, nobody holds it.
-    pub incarnation: Stamp,
+    /// Revision 0: handed back, nobody holds it.
+    pub incarnation: Revision,
     pub term: Term,
     pub teams: Vec<String>,
 }
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -13,7 +13,7 @@
 use crate::fairness::Res;
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest, MachineType};
-use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
 use crate::mesh::{BlockNews, Message, News};
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -41,7 +41,7 @@
     /// A job that a holder does not know, but a machine of its block shows.
     Stranger(BlockId, Term, JobId),
     Litter,
-    Manager(Stamp, manager::Write),
+    Manager(Revision, manager::Write),
 }
 
 #[derive(Debug)]
@@ -85,7 +85,7 @@
     /// The store has confirmed to a user here that a job is cancelled.
     Cancelled {
         job: JobId,
-        revision: Stamp,
+        revision: Revision,
     },
 }
 
@@ -141,8 +141,8 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct View {
     pub types: Option<Arc<Vec<MachineType>>>,
-    /// For each team: its block, and the stamp and term of the block's grant.
-    pub teams: Vec<(BlockId, Stamp, Term)>,
+    /// For each team: its block, and the revision and term of the block's grant.
+    pub teams: Vec<(BlockId, Revision, Term)>,
     pub healthy: bool,
 }
 
@@ -152,7 +152,7 @@
     mirror: Mirror,
     /// The store's revision that the mirror has reached, and when the reading
     /// that reached it was asked for.
-    seen: Stamp,
+    seen: Revision,
     read: Micros,
     member: Member,
     /// For the leader's key alone.
@@ -162,9 +162,9 @@
     desk: Desk,
     types: Option<Types>,
     peers: BTreeMap<Label, (Micros, News)>,
-    joined: BTreeMap<Label, (Stamp, Micros)>,
+    joined: BTreeMap<Label, (Revision, Micros)>,
     /// Cancelled at revisions that our reading has not reached.
-    cancelled: BTreeSet<(Stamp, JobId)>,
+    cancelled: BTreeSet<(Revision, JobId)>,
     /// When it was last seen that there is no leader.
     leaderless: Option<Micros>,
     leading_since: Option<Micros>,
@@ -209,7 +209,7 @@
             settings,
             policy,
             mirror: Mirror::default(),
-            seen: Stamp(0),
+            seen: Revision(0),
             read: Micros::ZERO,
             member,
             held: BTreeMap::new(),
@@ -246,7 +246,7 @@
             Input::Tick => self.tick(now, day, &mut out),
             Input::Loaded { rows, ledger, sent } => {
                 self.mirror.load(rows);
-                self.seen = Stamp(ledger);
+                self.seen = Revision(ledger);
                 self.read = sent;
                 // Guards against a picture made anew under the same term: its tokens
                 // and attempts would repeat, and copies of old reports would count.
@@ -311,7 +311,7 @@
     /// The store has cancelled a job: nothing more of it starts here, whether or not
     /// our reading has come so far. Until it has, the job may still come to a block of
     /// ours, so it is remembered.
-    fn cancelled(&mut self, job: JobId, revision: Stamp) {
+    fn cancelled(&mut self, job: JobId, revision: Revision) {
         if revision <= self.seen {
             return;
         }
@@ -402,7 +402,7 @@
                 Touched::Holder(_) | Touched::Other => others = true,
             }
         }
-        self.seen = Stamp(ledger.max(self.seen.0));
+        self.seen = Revision(ledger.max(self.seen.0));
         let asked = self.desk.reading(sent, &self.mirror);
         out.extend(asked.into_iter().map(desk_effect));
         if quiet {
@@ -435,9 +435,9 @@
         {
             self.types = Some(Arc::new(t.clone()));
         }
-        for (label, (stamp, _)) in &self.mirror.members {
-            if self.joined.get(label).is_none_or(|(s, _)| s != stamp) {
-                self.joined.insert(label.clone(), (*stamp, now));
+        for (label, (revision, _)) in &self.mirror.members {
+            if self.joined.get(label).is_none_or(|(s, _)| s != revision) {
+                self.joined.insert(label.clone(), (*revision, now));
             }
         }
         self.leaderless = if self.mirror.leader.is_some() {
@@ -465,10 +465,10 @@
             keep
         });
         if let Some(types) = self.types.clone() {
-            for (b, (stamp, rec)) in &self.mirror.holders {
+            for (b, (revision, rec)) in &self.mirror.holders {
                 if ours(rec) && !self.held.contains_key(b) {
                     tracing::info!(block = %b, term = %rec.term, "block is ours");
-                    let mut h = Holder::new(*b, rec, *stamp, &self.settings, &self.policy, now);
+                    let mut h = Holder::new(*b, rec, *revision, &self.settings, &self.policy, now);
                     h.take_over(now, &self.mirror, &types);
                     self.held.insert(*b, h);
                 }
@@ -492,7 +492,9 @@
             .map(|t| {
                 let b = leader::block_of(&self.mirror, s, blocks, t);
                 let rec = self.mirror.holders.get(&b);
-                rec.map_or((b, Stamp(0), Term(0)), |(stamp, rec)| (b, *stamp, rec.term))
+                rec.map_or((b, Revision(0), Term(0)), |(revision, rec)| {
+                    (b, *revision, rec.term)
+                })
             })
             .collect();
         let view = View {
@@ -695,15 +697,15 @@
             return;
         };
         self.out.remove("types");
-        let (stamp, old) = self
+        let (revision, old) = self
             .mirror
             .types
             .as_ref()
-            .map_or((Stamp(0), &[][..]), |(s, t)| (*s, t.as_slice()));
+            .map_or((Revision(0), &[][..]), |(s, t)| (*s, t.as_slice()));
         if old != types.as_slice() {
             let ops = vec![store::set(keys::TYPES.into(), &types)];
             let request = Request::Txn {
-                conds: vec![cond(keys::TYPES.into(), stamp)],
+                conds: vec![cond(keys::TYPES.into(), revision)],
                 ops,
             };
             out.push(Effect::Store {
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -19,7 +19,11 @@
         }
         // Ids of ended jobs never come back, so these pages are nobody's.
         let mut conds = vec![leader];
-        conds.extend(litter.iter().map(|(id, _)| cond(keys::job(id), Stamp(0))));
+        conds.extend(
+            litter
+                .iter()
+                .map(|(id, _)| cond(keys::job(id), Revision(0))),
+        );
         let ops = litter
             .iter()
             .map(|(id, page)| store::delete(keys::page(id, *page)))
@@ -47,7 +51,7 @@
             });
         }
         if let Some(since) = self.leaderless {
-            let Some(tenure) = self.leading_lease.alive(now) else {
+            let Some(lease_id) = self.leading_lease.alive(now) else {
                 return;
             };
             let standing = if now < self.deaf_until {
@@ -63,7 +67,7 @@
                 && self.claim(now, "candidacy")
             {
                 let conds = vec![
-                    cond(keys::LEADER.into(), Stamp(0)),
+                    cond(keys::LEADER.into(), Revision(0)),
                     cond(keys::member(&label), incarnation),
                 ];
                 let ops = vec![store::set_leased(
@@ -72,7 +76,7 @@
                         holder: label.clone(),
                         incarnation,
                     },
-                    tenure,
+                    lease_id,
                 )];
                 out.push(vital(Tag::Candidacy, conds, ops));
             }
@@ -83,12 +87,12 @@
             .leader
             .as_ref()
             .filter(|(_, r)| r.holder == label && r.incarnation != incarnation)
-            .map(|(stamp, _)| *stamp);
-        if let Some(stamp) = before
+            .map(|(revision, _)| *revision);
+        if let Some(revision) = before
             && self.claim(now, "step_down")
         {
             // Our earlier incarnation led; that process is dead, since it was us.
-            let conds = vec![cond(keys::LEADER.into(), stamp)];
+            let conds = vec![cond(keys::LEADER.into(), revision)];
             out.push(vital(
                 Tag::StepDown,
                 conds,
@@ -140,7 +144,7 @@
                 out.push(Effect::Cloud(CloudRequest::Types));
             }
             let news = self.all_news(now);
-            let reign = self.mirror.leader.as_ref().map_or(Stamp(0), |(s, _)| *s);
+            let reign = self.mirror.leader.as_ref().map_or(Revision(0), |(s, _)| *s);
             for e in self
                 .manager
                 .step(now, &self.mirror, &leader_cond, self.seen, &types, &news)
--- a/src/controller/http.rs
+++ b/src/controller/http.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// Kept connections to many addresses, so that a direct word costs no new one. In two
+/// Kept connections to many addresses, so that a direct command costs no new one. In two
 /// generations: whoever was not spoken to since the younger one began goes first.
 pub struct Pools {
     most: usize,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,7 +8,7 @@
 use crate::api::{self, desk::Found};
 use crate::clock::{Micros, Steady, time_of_day};
 use crate::fleet::client::Cloud;
-use crate::ids::{JobId, Stamp};
+use crate::ids::{JobId, Revision};
 use crate::mesh;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -41,7 +41,7 @@
 /// A cancellation that the store has confirmed.
 pub struct Cancelled {
     pub job: JobId,
-    pub revision: Stamp,
+    pub revision: Revision,
 }
 
 /// A user's question how a job stands.
--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -6,7 +6,7 @@
 use super::world::{World, secs};
 use crate::api::desk::Found;
 use crate::controller::core::Answer;
-use crate::ids::Token;
+use crate::ids::FencingToken;
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
 use crate::store::Reply;
@@ -143,7 +143,7 @@
             "the token at most"
         );
         // Not even one that has seen a lower term of the new holder's own.
-        copy.baton = Token(copy.baton.0 + 1);
+        copy.baton = FencingToken(copy.baton.0 + 1);
         w.late_copy(holder, &copy);
     }
     w.workers[1 - at].cut = false;
--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -6,7 +6,7 @@
 use super::world::{Node, World, secs};
 use crate::blocks::MachinesRec;
 use crate::controller::core::{Answer, Input};
-use crate::ids::{MachineId, Stamp};
+use crate::ids::{MachineId, Revision};
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
 use crate::mesh::Message;
@@ -66,13 +66,13 @@
     let holder = w.holder();
     w.nodes[holder].refused = true;
     w.cancel("j-1");
-    let (job, revision) = ("j-1".into(), Stamp(w.store.ledger));
+    let (job, revision) = ("j-1".into(), Revision(w.store.ledger));
     w.feed((holder + 1) % 3, Input::Cancelled { job, revision });
     w.pass(4.0);
     assert_eq!(w.all_running(), 0);
     // A job that comes to it after the word of its end: its reading lags behind.
     w.nodes[holder].refused = false;
-    let (job, revision) = ("j-2".into(), Stamp(w.store.ledger + 100));
+    let (job, revision) = ("j-2".into(), Revision(w.store.ledger + 100));
     w.feed(holder, Input::Mesh(Message::Cancelled { job, revision }));
     w.submit(&desc("j-2", 1));
     w.submit(&desc("j-3", 1));
@@ -80,7 +80,7 @@
     assert!(!w.started_ever("j-2"));
     assert!(w.started_ever("j-3"));
     // An old word is none: the reading has come further.
-    let (job, revision) = ("j-3".into(), Stamp(1));
+    let (job, revision) = ("j-3".into(), Revision(1));
     w.feed(holder, Input::Mesh(Message::Cancelled { job, revision }));
     w.pass(4.0);
     assert_eq!(w.running("j-3/0").len(), 1);
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -9,7 +9,7 @@
 
 use super::core::{Answer, Input};
 use crate::fleet::MachineType;
-use crate::ids::{Attempt, MachineId};
+use crate::ids::{AttemptId, MachineId};
 use crate::jobs::Standing;
 use crate::jobs::tests::{desc, types};
 use crate::settings::tests::settings;
@@ -56,7 +56,7 @@
     for (conds, ops) in std::mem::take(&mut w.held_txns) {
         assert!(
             matches!(w.store.txn(&conds, ops), Reply::Conflict(_)),
-            "its stamps have moved on"
+            "its revisions have moved on"
         );
     }
     assert_eq!(w.ended("j-1"), Some(Standing::Done));
@@ -392,7 +392,7 @@
     w.submit(&desc("j-2", 1));
     w.pass(4.0);
     let second = w.workers[0].hands["j-2/0"].0;
-    assert!(Attempt(second) > Attempt(first));
+    assert!(AttemptId(second) > AttemptId(first));
 }
 
 #[test]
--- a/src/controller/tests/pairs.rs
+++ b/src/controller/tests/pairs.rs
@@ -9,7 +9,7 @@
 use crate::api::desk::Found;
 use crate::clock::Micros;
 use crate::controller::core::Input;
-use crate::ids::{JobId, Stamp};
+use crate::ids::{JobId, Revision};
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
 use rand::rngs::StdRng;
@@ -220,7 +220,7 @@
         let by = (0..NODES).find(|i| able(&self.w.nodes[*i]) && !self.w.nodes[*i].frozen);
         if let Some(by) = by.filter(|_| lives && !self.w.store.down) {
             self.w.cancel(id.as_str());
-            let (job, revision) = (id.clone(), Stamp(self.w.store.ledger));
+            let (job, revision) = (id.clone(), Revision(self.w.store.ledger));
             self.w.feed(by, Input::Cancelled { job, revision });
         }
     }
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -4,7 +4,7 @@
 use crate::api::desk::Found;
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed};
-use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, TaskId, Tenure, Token};
+use crate::ids::{BlockId, FencingToken, JobId, Label, LeaseId, MachineId, Revision, TaskId};
 use crate::jobs::tests::types;
 use crate::jobs::{EndedRec, JobDesc, JobRec, Standing};
 use crate::policy::tests::standard;
@@ -66,15 +66,19 @@
         self.ledger += 1;
         for op in ops {
             match op {
-                Op::Set { key, value, tenure } => {
+                Op::Set {
+                    key,
+                    value,
+                    lease_id,
+                } => {
                     self.log.push(Change {
                         set: Some(key.clone()),
                         delete: None,
                         value: value.clone(),
-                        stamp: Stamp(self.ledger),
+                        revision: Revision(self.ledger),
                     });
                     self.keys
-                        .insert(key, (self.ledger, value, tenure.map(|t| t.0)));
+                        .insert(key, (self.ledger, value, lease_id.map(|t| t.0)));
                 }
                 Op::Delete { key } => {
                     if self.keys.remove(&key).is_some() {
@@ -82,13 +86,13 @@
                             set: None,
                             delete: Some(key),
                             value: Value::Null,
-                            stamp: Stamp(self.ledger),
+                            revision: Revision(self.ledger),
                         });
                     }
                 }
             }
         }
-        Reply::Committed(Stamp(self.ledger))
+        Reply::Committed(Revision(self.ledger))
     }
 
     /// What the settings of these tests allow; a transaction beyond it is malformed.
@@ -113,14 +117,14 @@
 
     pub fn txn(&mut self, conds: &[Cond], ops: Vec<Op>) -> Reply {
         self.check_limits(conds, &ops);
-        let stamp = |k: &str| self.keys.get(k).map_or(0, |v| v.0);
+        let revision = |k: &str| self.keys.get(k).map_or(0, |v| v.0);
         let failed: Vec<String> = conds
             .iter()
-            .filter(|c| stamp(&c.key) != c.stamp.0)
+            .filter(|c| revision(&c.key) != c.revision.0)
             .map(|c| c.key.clone())
             .collect();
         let dead = ops.iter().any(
-            |op| matches!(op, Op::Set { tenure: Some(t), .. } if !self.leases.contains_key(&t.0)),
+            |op| matches!(op, Op::Set { lease_id: Some(t), .. } if !self.leases.contains_key(&t.0)),
         );
         if dead {
             return Reply::LeaseGone;
@@ -139,10 +143,10 @@
         self.expire(now);
         match request {
             Request::Get { key } => match self.keys.get(&key) {
-                Some((stamp, value, _)) => Reply::Found(Row {
+                Some((revision, value, _)) => Reply::Found(Row {
                     key,
                     value: value.clone(),
-                    stamp: Stamp(*stamp),
+                    revision: Revision(*revision),
                 }),
                 None => Reply::Missing,
             },
@@ -150,16 +154,16 @@
             Request::NewLease { life } => {
                 self.next_lease += 1;
                 self.leases.insert(self.next_lease, (life, now + life));
-                Reply::Leased(Tenure(self.next_lease))
+                Reply::Leased(LeaseId(self.next_lease))
             }
-            Request::Renew { tenure } => match self.leases.get_mut(&tenure.0) {
+            Request::Renew { lease_id } => match self.leases.get_mut(&lease_id.0) {
                 Some((life, end)) => {
                     *end = now + *life;
                     Reply::Done
                 }
                 None => Reply::LeaseGone,
             },
-            Request::EndLease { tenure } => self.end_lease(tenure.0),
+            Request::EndLease { lease_id } => self.end_lease(lease_id.0),
             Request::List { .. } => Reply::Refused,
         }
     }
@@ -170,7 +174,7 @@
             .map(|(k, v)| Row {
                 key: k.clone(),
                 value: v.1.clone(),
-                stamp: Stamp(v.0),
+                revision: Revision(v.0),
             })
             .collect()
     }
@@ -183,7 +187,7 @@
     pub zone: &'static str,
     pub shift: u64,
     pub tally: u64,
-    pub baton: Token,
+    pub baton: FencingToken,
     pub hands: BTreeMap<String, (u64, String, Option<String>)>,
     pub node: Option<usize>,
     pub cut: bool,
@@ -211,7 +215,7 @@
             zone,
             shift: 1,
             tally: 0,
-            baton: Token(0),
+            baton: FencingToken(0),
             hands: BTreeMap::new(),
             node: None,
             cut: false,
@@ -723,7 +727,7 @@
     pub fn reborn(&mut self, at: usize) {
         let now = self.now;
         let w = &mut self.workers[at];
-        (w.shift, w.tally, w.baton) = (1, 0, Token(0));
+        (w.shift, w.tally, w.baton) = (1, 0, FencingToken(0));
         (w.last_answer, w.due) = (now, now);
         w.hands.clear();
     }
@@ -767,7 +771,7 @@
         let ledger = self.store.ledger;
         let input = if self.nodes[i].loaded {
             let since = self.nodes[i].since;
-            let new = self.store.log.partition_point(|c| c.stamp.0 <= since);
+            let new = self.store.log.partition_point(|c| c.revision.0 <= since);
             let log: Vec<Change> = self.store.log[new..].to_vec();
             Input::Changes { log, ledger, sent }
         } else {
@@ -862,8 +866,8 @@
             born,
         };
         let conds = [
-            cond(keys::job(&desc.id), Stamp(0)),
-            cond(key, Stamp(holder.0)),
+            cond(keys::job(&desc.id), Revision(0)),
+            cond(key, Revision(holder.0)),
         ];
         let reply = self
             .store
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -7,7 +7,7 @@
 use crate::blocks::{Freed, HireRec, MachineRec};
 use crate::clock::Micros;
 use crate::fairness::Res;
-use crate::ids::{BlockId, MachineId, Stamp};
+use crate::ids::{BlockId, MachineId, Revision};
 use crate::mesh::BlockNews;
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -77,8 +77,8 @@
     horizon: Micros,
     stepped: Micros,
     scanned: Micros,
-    /// The leadership that this state belongs to, by the leader key's stamp.
-    reign: Stamp,
+    /// The leadership that this state belongs to, by the leader key's revision.
+    reign: Revision,
     counter: u64,
     list: BTreeMap<MachineId, Listed>,
     listing: bool,
@@ -101,7 +101,7 @@
     /// A write of machines had no answer: it may still be carried out.
     unfenced: bool,
     /// The mirror must have caught up with this before the next write.
-    wait_for: Stamp,
+    wait_for: Revision,
     /// Requests that lacked room lately.
     shapes: Vec<(Res, Micros)>,
     /// Room that reports don't show yet, by the hire that brings it.
@@ -144,18 +144,18 @@
         now: Micros,
         mirror: &Mirror,
         leader: &Cond,
-        seen: Stamp,
+        seen: Revision,
         types: &[MachineType],
         news: &BTreeMap<BlockId, BlockNews>,
     ) -> Vec<Effect> {
-        if self.reign != leader.stamp {
+        if self.reign != leader.revision {
             // What an earlier reign knew is stale; answers still out are dropped by
             // their names. Its hires are in the store.
             *self = Manager {
                 txn_ops: self.txn_ops,
                 value_bytes: self.value_bytes,
                 horizon: self.horizon,
-                reign: leader.stamp,
+                reign: leader.revision,
                 counter: self.counter,
                 ..Manager::default()
             };
@@ -408,7 +408,7 @@
         let mut conds = vec![leader.clone(), term_cond];
         for (at, rec) in draft.shards {
             let key = keys::machines(at.0, at.1);
-            conds.push(cond(key.clone(), mirror.shard_stamp(at)));
+            conds.push(cond(key.clone(), mirror.shard_revision(at)));
             ops.push(store::set(key, &rec));
         }
         if ops.is_empty() {
@@ -434,9 +434,9 @@
                 Hire::Refused => {
                     *state = Hire::Recording;
                     // Only if it is recorded; else there is nothing to drop.
-                    if let Some((stamp, _)) = mirror.hires.get(name) {
+                    if let Some((revision, _)) = mirror.hires.get(name) {
                         let key = keys::hire(name);
-                        let conds = vec![leader.clone(), cond(key.clone(), *stamp)];
+                        let conds = vec![leader.clone(), cond(key.clone(), *revision)];
                         out.push(Effect::Txn(
                             Write::Drop { name: name.clone() },
                             conds,
@@ -541,7 +541,7 @@
     /// A hire is recorded before the cloud is asked.
     fn record_hire(&mut self, now: Micros, leader: &Cond, hire: HireRec, capacity: Res) -> Effect {
         self.counter += 1;
-        // The reign's stamp is never reused, so neither is the name.
+        // The reign's revision is never reused, so neither is the name.
         let name = format!("r-{}-{}", self.reign, self.counter);
         tracing::info!(%name, ?hire, "renting");
         let until = now + Micros::from_millis(8_000);
@@ -555,7 +555,7 @@
             },
         );
         let key = keys::hire(&name);
-        let conds = vec![leader.clone(), cond(key.clone(), Stamp(0))];
+        let conds = vec![leader.clone(), cond(key.clone(), Revision(0))];
         let ops = vec![store::set(key, &hire)];
         self.hires
             .insert(name.clone(), (hire.clone(), Hire::Recording));
@@ -698,8 +698,8 @@
             Write::Machines { settled } => {
                 self.writing = false;
                 match reply {
-                    Reply::Committed(stamp) => {
-                        self.wait_for = *stamp;
+                    Reply::Committed(revision) => {
+                        self.wait_for = *revision;
                         for name in settled {
                             self.hires.remove(&name);
                         }
@@ -711,9 +711,9 @@
             }
             Write::Fence => {
                 self.writing = false;
-                if let Reply::Committed(stamp) = reply {
+                if let Reply::Committed(revision) = reply {
                     self.unfenced = false;
-                    self.wait_for = *stamp;
+                    self.wait_for = *revision;
                 }
             }
             Write::Hire { name, .. } => {
@@ -730,8 +730,8 @@
                 }
             }
             Write::Drop { name } => {
-                if let Reply::Committed(stamp) = reply {
-                    self.wait_for = self.wait_for.max(*stamp);
+                if let Reply::Committed(revision) = reply {
+                    self.wait_for = self.wait_for.max(*revision);
                     self.hires.remove(&name);
                 } else if let Some((_, state)) = self.hires.get_mut(&name) {
                     *state = Hire::Refused;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -72,19 +72,19 @@
 );
 number!(
     /// The revision at which a key of the state service last changed; 0: no such key.
-    Stamp
+    Revision
 );
 number!(
     /// What a worker compares: a machine's term above, the holder's own epoch below.
-    Token
+    FencingToken
 );
 number!(
     /// An attempt to run a task.
-    Attempt
+    AttemptId
 );
 number!(
     /// A lease of the state service.
-    Tenure
+    LeaseId
 );
 number!(
     /// A block of machines and the teams whose work runs on them.
@@ -94,18 +94,18 @@
 /// How many epochs a holder has below each term.
 const EPOCH_BITS: u32 = 20;
 
-impl Token {
+impl FencingToken {
     /// Epochs let a holder fence its own delayed commands without asking anyone:
     /// its term stays above every older one whatever the epoch.
-    pub fn of(term: Term, epoch: u64) -> Token {
-        Token((term.0 << EPOCH_BITS) | epoch.min((1 << EPOCH_BITS) - 1))
+    pub fn of(term: Term, epoch: u64) -> FencingToken {
+        FencingToken((term.0 << EPOCH_BITS) | epoch.min((1 << EPOCH_BITS) - 1))
     }
 }
 
-impl Attempt {
+impl AttemptId {
     /// Rises without a write to the store and never repeats: terms never do.
-    pub fn of(term: Term, counter: u64) -> Attempt {
-        Attempt((term.0 << EPOCH_BITS) + counter)
+    pub fn of(term: Term, counter: u64) -> AttemptId {
+        AttemptId((term.0 << EPOCH_BITS) + counter)
     }
 }
 
--- a/src/ids/tests.rs
+++ b/src/ids/tests.rs
@@ -2,8 +2,8 @@
 
 #[test]
 fn a_higher_term_beats_every_epoch_of_a_lower_one() {
-    assert!(Token::of(Term(4), 0) > Token::of(Term(3), u64::MAX));
-    assert!(Token::of(Term(3), 1) > Token::of(Term(3), 0));
+    assert!(FencingToken::of(Term(4), 0) > FencingToken::of(Term(3), u64::MAX));
+    assert!(FencingToken::of(Term(3), 1) > FencingToken::of(Term(3), 0));
 }
 
 #[test]
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,7 +5,7 @@
 use crate::clock::Micros;
 use crate::fairness::Res;
 use crate::fleet::MachineType;
-use crate::ids::{JobId, Label, MachineId, Stamp, Term};
+use crate::ids::{JobId, Label, MachineId, Revision, Term};
 use crate::policy::JobChoice;
 use crate::settings::Settings;
 use crate::store::{self, Cond, Op, cond, keys};
@@ -271,7 +271,7 @@
     pub at: Micros,
     pub born: Term,
     /// Of its record, which never changes while the job lives.
-    pub stamp: Stamp,
+    pub revision: Revision,
     pub done: RangeSet,
     /// Neither done nor on a machine.
     pub waiting: RangeSet,
@@ -284,7 +284,7 @@
     pub write_after: Micros,
     /// Tasks in a page.
     page: u32,
-    pages: BTreeMap<u32, Stamp>,
+    pages: BTreeMap<u32, Revision>,
     dirty: BTreeSet<u32>,
     /// Whether it was last recorded as running.
     shown_running: bool,
@@ -305,13 +305,13 @@
 }
 
 impl Job {
-    pub fn new(rec: &JobRec, stamp: Stamp, team: usize, page: u32) -> Job {
+    pub fn new(rec: &JobRec, revision: Revision, team: usize, page: u32) -> Job {
         Job {
             desc: Rc::new(rec.desc.clone()),
             team,
             at: rec.at,
             born: rec.born,
-            stamp,
+            revision,
             done: RangeSet::default(),
             waiting: RangeSet::full(rec.desc.tasks),
             active: BTreeMap::new(),
@@ -348,7 +348,7 @@
     }
 
     /// What an earlier owner recorded. Pages need not be cut as ours are.
-    pub fn recall(&mut self, page: u32, stamp: Stamp, rec: &ProgressRec) {
+    pub fn recall(&mut self, page: u32, revision: Revision, rec: &ProgressRec) {
         for (a, b) in &rec.done {
             let b = (*b).min(self.desc.tasks);
             self.done.add(*a, b);
@@ -357,13 +357,13 @@
             }
         }
         self.shown_running |= rec.running > 0;
-        self.page_changed(page, stamp);
+        self.page_changed(page, revision);
     }
 
-    /// A page of it has this stamp now, as our write's answer or the watch says.
-    pub fn page_changed(&mut self, page: u32, stamp: Stamp) {
+    /// A page of it has this revision now, as our write's answer or the watch says.
+    pub fn page_changed(&mut self, page: u32, revision: Revision) {
         let kept = self.pages.entry(page).or_default();
-        *kept = stamp.max(*kept);
+        *kept = revision.max(*kept);
     }
 
     pub fn all_done(&self) -> bool {
@@ -433,8 +433,8 @@
             footprint: Some(self.desc.footprint()),
         };
         let conds = vec![
-            cond(keys::job(id), self.stamp),
-            cond(keys::ended(id), Stamp(0)),
+            cond(keys::job(id), self.revision),
+            cond(keys::ended(id), Revision(0)),
         ];
         let mut ops = vec![
             store::delete(keys::job(id)),
@@ -451,8 +451,8 @@
         if self.shown_running == self.running.is_empty() {
             self.dirty.insert(0);
         }
-        // A late write of ours must not undo a later one: each page has its stamp.
-        let mut conds = vec![cond(keys::job(id), self.stamp)];
+        // A late write of ours must not undo a later one: each page has its revision.
+        let mut conds = vec![cond(keys::job(id), self.revision)];
         let (mut ops, mut pages) = (Vec::new(), Vec::new());
         while pages.len() < most {
             let Some(page) = self.dirty.pop_first() else {
@@ -471,8 +471,8 @@
                 self.shown_running = !self.running.is_empty();
             }
             let key = keys::page(id, page);
-            let stamp = self.pages.get(&page).copied().unwrap_or_default();
-            conds.push(cond(key.clone(), stamp));
+            let revision = self.pages.get(&page).copied().unwrap_or_default();
+            conds.push(cond(key.clone(), revision));
             ops.push(store::set(key, &rec));
             pages.push(page);
         }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -110,13 +110,13 @@
 fn finished_tasks_of_a_large_job_are_split_over_keys() {
     for value_kb in [1.0, 16.0, 32.0] {
         let page = page_tasks(value_kb);
-        let mut job = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, page);
+        let mut job = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Revision(1), 0, page);
         // The worst pattern: every other task of the whole job.
         for i in (0..MOST_TASKS).step_by(2) {
             job.finish(i);
         }
         let (mut largest, mut writes) = (0, 0);
-        let mut later = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Stamp(1), 0, 999);
+        let mut later = Job::new(&rec("j-1", MOST_TASKS, Term(1)), Revision(1), 0, 999);
         while !job.clean() {
             let (conds, ops, pages) = job.progress_ops(&Label::from("c0"), 7);
             assert!(ops.len() <= 7 && conds.len() == ops.len() + 1);
@@ -127,7 +127,7 @@
                 largest = largest.max(value.to_string().len());
                 writes += 1;
                 let rec = serde_json::from_value(value).expect("a page");
-                later.recall(page, Stamp(writes), &rec);
+                later.recall(page, Revision(writes), &rec);
             }
         }
         assert!((largest as f64) < value_kb * 1024.0, "{largest}");
@@ -137,16 +137,16 @@
 
 #[test]
 fn an_ended_job_is_moved_in_one_transaction() {
-    let mut job = Job::new(&rec("j-1", 2, Term(1)), Stamp(1), 0, 512);
+    let mut job = Job::new(&rec("j-1", 2, Term(1)), Revision(1), 0, 512);
     job.finish(0);
     assert!(job.finish(1) && !job.finish(1));
-    job.page_changed(0, Stamp(5));
+    job.page_changed(0, Revision(5));
     assert!(job.all_done() && job.wants_write(Micros(1)));
     let (conds, ops) = job.end_ops(3);
     assert_eq!(ops[0], store::delete("r/jobs/j-1".into()));
     assert!(matches!(&ops[1], Op::Set { key, .. } if key == "ended/j-1"));
     assert_eq!(ops[2], store::delete("r/done/j-1/0000".into()));
-    assert_eq!(conds[0], cond("r/jobs/j-1".into(), Stamp(1)));
+    assert_eq!(conds[0], cond("r/jobs/j-1".into(), Revision(1)));
     assert_eq!(job.end_ops(2).1.len(), 2, "a page left over is litter");
 }
 #[test]
@@ -160,7 +160,7 @@
         let mut d = desc("j-1", 4);
         d.spot = spot;
         d.due_s = Some(60.0);
-        let mut job = Job::new(&rec(d), Stamp(1), 0, 64);
+        let mut job = Job::new(&rec(d), Revision(1), 0, 64);
         job.choose(choice);
         job
     };
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -4,7 +4,7 @@
 //! or repeated frame does no harm.
 
 use crate::clock::Micros;
-use crate::ids::{BlockId, JobId, Label, MachineId, Stamp, Term};
+use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
 use crate::placement::Need;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
     pub from: Label,
-    pub incarnation: Stamp,
+    pub incarnation: Revision,
     pub store_ok: bool,
     /// False: it hears none of its machines.
     pub hears_workers: bool,
@@ -48,7 +48,7 @@
     /// its block hears it here before the watch tells, or while the store can't be read.
     Cancelled {
         job: JobId,
-        revision: Stamp,
+        revision: Revision,
     },
 }
 
--- a/src/mesh/tests.rs
+++ b/src/mesh/tests.rs
@@ -4,7 +4,7 @@
 fn frames_round_trip_and_other_versions_are_skipped() {
     let news = News {
         from: "c0".into(),
-        incarnation: Stamp(3),
+        incarnation: Revision(3),
         store_ok: true,
         hears_workers: true,
         blocks: vec![BlockNews {
@@ -17,7 +17,7 @@
     };
     let cancelled = Message::Cancelled {
         job: "j-1".into(),
-        revision: Stamp(7),
+        revision: Revision(7),
     };
     let frame = encode(&cancelled).expect("encodes");
     assert_eq!(decode(&frame), Some(cancelled));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -18,7 +18,7 @@
 use crate::ids::{JobId, MachineId, Term};
 use crate::jobs::{ImageKey, Job, JobDesc};
 use crate::settings::Settings;
-use crate::workers::{Leaving, Machine, Phase, Try};
+use crate::workers::{Attempt, Leaving, Machine, Phase};
 use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -544,7 +544,7 @@
     if job.desc.one_zone || job.desc.apart {
         for m in machines.values() {
             // Attempts, not only known tasks: one being stopped is still there.
-            let of_job = |(k, a): &(&crate::workers::Key, &Try)| {
+            let of_job = |(k, a): &(&crate::workers::Key, &Attempt)| {
                 k.0.job == job.desc.id && a.phase != Phase::Exited
             };
             let n = m.tries.iter().filter(of_job).count() as u32;
--- a/src/placement/picky/tests.rs
+++ b/src/placement/picky/tests.rs
@@ -1,11 +1,11 @@
 use super::*;
-use crate::ids::{Stamp, Term};
+use crate::ids::{Revision, Term};
 use crate::jobs::tests::{rec, types};
 
 #[test]
 fn what_has_a_choice_leaves_the_large_machines_to_what_has_none() {
     let mut picky = Picky::new(&types());
-    let mut small = Job::new(&rec("j-1", 4, Term(1)), Stamp(1), 0, 64);
+    let mut small = Job::new(&rec("j-1", 4, Term(1)), Revision(1), 0, 64);
     small.starts_within = Some(Micros::from_secs(70.0));
     let soon = Micros::from_secs(5.0);
     assert!(picky.leaves(&small, soon).is_empty(), "nothing waits");
@@ -21,7 +21,7 @@
     // What fits no more than the waiting class does leaves it nothing.
     let mut large = rec("j-2", 4, Term(1));
     large.desc.cores = 8.0;
-    let mut large = Job::new(&large, Stamp(1), 0, 64);
+    let mut large = Job::new(&large, Revision(1), 0, 64);
     large.starts_within = Some(Micros::from_secs(70.0));
     assert!(picky.leaves(&large, soon).is_empty());
 }
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -6,7 +6,7 @@
 use crate::fairness::{Res, Weights};
 use crate::ids::{JobId, MachineId};
 use crate::jobs::Job;
-use crate::workers::{Key, Machine, Phase, Reserved, Try};
+use crate::workers::{Attempt, Key, Machine, Phase, Reserved};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Work to be stopped for a job, and the room that this keeps for it.
@@ -71,7 +71,7 @@
 const WORTH_HASTE: f64 = 0.7;
 
 /// What stopping an attempt loses, in core-seconds; none: it is left alone.
-fn loss(t: &Try, now: Micros) -> Option<(f64, f64)> {
+fn loss(t: &Attempt, now: Micros) -> Option<(f64, f64)> {
     let d = t.desc.as_ref()?;
     if t.halt.is_some()
         || t.abandoned.is_some()
@@ -250,7 +250,7 @@
 ) -> Option<Plan<'a>> {
     let (m, d) = (scene.machines.get(machine)?, &job.desc);
     let request = d.request();
-    let may = |t: &Try| {
+    let may = |t: &Attempt| {
         let Some(v) = &t.desc else { return false };
         let ran = t.running_since.map_or(Micros::ZERO, |r| scene.now.since(r));
         if scene
@@ -270,7 +270,7 @@
         });
         guaranteed && above == Some(true)
     };
-    let mut candidates: Vec<(&Key, &Try, f64, f64)> = m
+    let mut candidates: Vec<(&Key, &Attempt, f64, f64)> = m
         .tries
         .iter()
         .filter(|(k, t)| !gone.contains(k) && may(t))
--- a/src/policy/lang.rs
+++ b/src/policy/lang.rs
@@ -116,7 +116,7 @@
 const MOST_PAIRS: usize = 300;
 
 #[derive(Debug, Clone, PartialEq)]
-enum Token {
+enum FencingToken {
     Number(f64),
     Text(String),
     Name(String),
@@ -128,7 +128,7 @@
     "<=", ">=", "==", "!=", "<", ">", "=", "+", "-", "*", "/", "(", ")", ",", ";", "!",
 ];
 
-fn tokens(text: &str) -> Result<Vec<(Token, At)>, PolicyError> {
+fn tokens(text: &str) -> Result<Vec<(FencingToken, At)>, PolicyError> {
     let mut out = Vec::new();
     for (n, line) in text.lines().enumerate() {
         let mut rest = line;
@@ -147,19 +147,19 @@
             } else if c.is_ascii_digit() {
                 let len = run(|c| c.is_ascii_digit() || c == '.');
                 match rest[..len].parse() {
-                    Ok(v) => (Token::Number(v), len),
+                    Ok(v) => (FencingToken::Number(v), len),
                     Err(_) => return fail(at, format!("{} is no number", &rest[..len]), ""),
                 }
             } else if c.is_ascii_alphabetic() || c == '_' {
                 let len = run(|c| c.is_ascii_alphanumeric() || c == '_');
-                (Token::Name(rest[..len].into()), len)
+                (FencingToken::Name(rest[..len].into()), len)
             } else if c == '"' {
                 match rest[1..].find('"') {
-                    Some(end) => (Token::Text(rest[1..=end].into()), end + 2),
+                    Some(end) => (FencingToken::Text(rest[1..=end].into()), end + 2),
                     None => return fail(at, "a text has no end", "close it with \" on its line"),
                 }
             } else if let Some(sign) = SIGNS.iter().find(|s| rest.starts_with(**s)) {
-                (Token::Sign(sign), sign.len())
+                (FencingToken::Sign(sign), sign.len())
             } else {
                 return fail(at, format!("{c:?} means nothing here"), "");
             };
@@ -168,12 +168,12 @@
         }
     }
     let line = text.lines().count().max(1);
-    out.push((Token::End, At { line, column: 1 }));
+    out.push((FencingToken::End, At { line, column: 1 }));
     Ok(out)
 }
 
 struct Reader {
-    tokens: Vec<(Token, At)>,
+    tokens: Vec<(FencingToken, At)>,
     next: usize,
     depth: usize,
     pairs: usize,
@@ -195,8 +195,8 @@
     loop {
         let at = r.at();
         let name = match r.take() {
-            Token::End => return Ok(settings),
-            Token::Name(name) => name,
+            FencingToken::End => return Ok(settings),
+            FencingToken::Name(name) => name,
             _ => return fail(at, "a setting's name is missing", "NAME = EXPRESSION;"),
         };
         if settings.iter().any(|(n, ..)| *n == name) {
@@ -214,7 +214,7 @@
         self.tokens[self.next].1
     }
 
-    fn take(&mut self) -> Token {
+    fn take(&mut self) -> FencingToken {
         let token = self.tokens[self.next].0.clone();
         self.next = (self.next + 1).min(self.tokens.len() - 1);
         token
@@ -222,8 +222,8 @@
 
     fn is(&self, sign: &str) -> bool {
         match &self.tokens[self.next].0 {
-            Token::Sign(s) => *s == sign,
-            Token::Name(n) => n == sign,
+            FencingToken::Sign(s) => *s == sign,
+            FencingToken::Name(n) => n == sign,
             _ => false,
         }
     }
@@ -309,15 +309,15 @@
             return fail(at, "this is nested too deep", "");
         }
         let node = match self.take() {
-            Token::Number(v) => Node::Value(Value::Number(v)),
-            Token::Text(t) => Node::Value(Value::Text(t)),
-            Token::Sign("-") => Node::Negative(Box::new(self.single()?)),
-            Token::Sign("(") => {
+            FencingToken::Number(v) => Node::Value(Value::Number(v)),
+            FencingToken::Text(t) => Node::Value(Value::Text(t)),
+            FencingToken::Sign("-") => Node::Negative(Box::new(self.single()?)),
+            FencingToken::Sign("(") => {
                 let inner = self.expr()?;
                 self.expect(")")?;
                 inner.node
             }
-            Token::Name(n) => match n.as_str() {
+            FencingToken::Name(n) => match n.as_str() {
                 "true" => Node::Value(Value::Truth(true)),
                 "false" => Node::Value(Value::Truth(false)),
                 "not" => Node::Not(Box::new(self.single()?)),
--- a/src/settings/sockets.rs
+++ b/src/settings/sockets.rs
@@ -25,7 +25,7 @@
 pub struct Sockets {
     /// Connections from peers.
     pub peers: usize,
-    /// Kept connections to workers, for direct words.
+    /// Kept connections to workers, for direct commands.
     pub direct: usize,
     /// Connections of users and workers; those beyond are closed at once.
     pub served: usize,
@@ -50,7 +50,7 @@
         if by_sockets < LEAST_SERVED {
             return Err(format!(
                 "limits.sockets is {}, too few to serve users and workers beside {} for the \
-                 state service, the cloud, peers and direct words",
+                 state service, the cloud, peers and direct commands",
                 p.limits.sockets,
                 others + direct
             ));
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -3,7 +3,7 @@
 use super::{Change, Cond, Op, ROOT, Reply, Request, Row, Urgency};
 use crate::clock::{Micros, Steady};
 use crate::controller::http::{Failure, Pool};
-use crate::ids::{Stamp, Tenure};
+use crate::ids::{LeaseId, Revision};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -82,7 +82,8 @@
 }
 #[derive(Deserialize)]
 struct Leased {
-    tenure: Tenure,
+    #[serde(rename = "tenure")]
+    lease_id: LeaseId,
 }
 #[derive(Deserialize)]
 struct Rows {
@@ -170,10 +171,10 @@
                 "/leases".into(),
                 Some(json!({"lifeMs": life.0 / 1000})),
             ),
-            Request::Renew { tenure } => {
-                ("POST", format!("/leases/{tenure}/renew"), Some(json!({})))
+            Request::Renew { lease_id } => {
+                ("POST", format!("/leases/{lease_id}/renew"), Some(json!({})))
             }
-            Request::EndLease { tenure } => ("DELETE", format!("/leases/{tenure}"), None),
+            Request::EndLease { lease_id } => ("DELETE", format!("/leases/{lease_id}"), None),
         };
         let sent = self.pool.call(method, &path, body.as_ref(), DEADLINE).await;
         Sent::Reply(match sent {
@@ -253,12 +254,12 @@
             more: r.more,
             ledger: r.ledger,
         }),
-        (Request::Txn { .. }, 200) => parse(body, |l: Ledger| Reply::Committed(Stamp(l.ledger))),
+        (Request::Txn { .. }, 200) => parse(body, |l: Ledger| Reply::Committed(Revision(l.ledger))),
         (Request::Txn { .. }, 409) => parse(body, |f: Failed| Reply::Conflict(f.failed)),
         (Request::Txn { .. }, 400) if body.windows(13).any(|w| w == b"no such lease") => {
             Reply::LeaseGone
         }
-        (Request::NewLease { .. }, 200) => parse(body, |l: Leased| Reply::Leased(l.tenure)),
+        (Request::NewLease { .. }, 200) => parse(body, |l: Leased| Reply::Leased(l.lease_id)),
         (Request::Renew { .. } | Request::EndLease { .. }, 200..=299) => Reply::Done,
         (Request::Renew { .. } | Request::EndLease { .. }, 404) => Reply::LeaseGone,
         (_, 400..=499) => {
--- a/src/store/client/tests.rs
+++ b/src/store/client/tests.rs
@@ -27,7 +27,7 @@
     };
     assert_eq!(
         read_reply(&txn, 200, br#"{"ledger":432}"#),
-        Reply::Committed(Stamp(432))
+        Reply::Committed(Revision(432))
     );
     assert_eq!(
         read_reply(&txn, 409, br#"{"failed":["a"],"ledger":4}"#),
@@ -42,3 +42,24 @@
     assert_eq!(read_reply(&txn, 200, b"{\"led"), Reply::Unknown);
     assert_eq!(read_reply(&txn, 502, b""), Reply::Unknown);
 }
+
+#[test]
+fn the_wire_and_the_records_keep_their_names() {
+    let conds = [super::super::cond("a/b".into(), Revision(412))];
+    let ops = [
+        super::super::set_leased("a/b".into(), &7, LeaseId(9)),
+        super::super::delete("c/d".into()),
+    ];
+    let said = txn_body(&conds, &ops).to_string();
+    let page = r#"{"if":[{"k":"a/b","stamp":412}],"then":[{"set":"a/b","tenure":9,"value":7},{"delete":"c/d"}]}"#;
+    assert_eq!(said, page);
+    let row = r#"{"k":"a/b","value":{},"stamp":412,"tenure":7}"#;
+    let row: Row = serde_json::from_str(row).expect("a row");
+    assert_eq!(row.revision, Revision(412));
+    let log = r#"{"ledger":433,"log":[{"set":"c/9","value":{},"stamp":433},{"delete":"c/d","stamp":432}]}"#;
+    let log: Log = serde_json::from_str(log).expect("a log");
+    assert_eq!(log.log[1].revision, Revision(432));
+    let leased = Request::NewLease { life: Micros(1) };
+    let told = read_reply(&leased, 200, br#"{"tenure":7}"#);
+    assert_eq!(told, Reply::Leased(LeaseId(7)));
+}
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,26 +1,26 @@
 //! What this controller has read of the store, in the order of its changes.
 //!
-//! It may lag. Nothing is decided by it alone: every write names the stamps
+//! It may lag. Nothing is decided by it alone: every write names the revisions
 //! that it relies on, so a view that is out of date makes the write fail.
 
 use super::{Change, Row};
 use crate::blocks::{HireRec, HolderRec, LeaderRec, MachineRec, MachinesRec, MemberRec, TermRec};
 use crate::fleet::MachineType;
-use crate::ids::{BlockId, JobId, Label, MachineId, Stamp};
+use crate::ids::{BlockId, JobId, Label, MachineId, Revision};
 use crate::jobs::{JobRec, ProgressRec};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-type Table<K, V> = BTreeMap<K, (Stamp, V)>;
+type Table<K, V> = BTreeMap<K, (Revision, V)>;
 
 #[derive(Debug, Default)]
 pub struct Mirror {
     pub loaded: bool,
-    pub term: (Stamp, TermRec),
-    pub leader: Option<(Stamp, LeaderRec)>,
-    pub types: Option<(Stamp, Vec<MachineType>)>,
+    pub term: (Revision, TermRec),
+    pub leader: Option<(Revision, LeaderRec)>,
+    pub types: Option<(Revision, Vec<MachineType>)>,
     pub members: Table<Label, MemberRec>,
     pub holders: Table<BlockId, HolderRec>,
     /// Each block's machines, in shards.
@@ -47,10 +47,10 @@
     table: &mut Table<K, T>,
     key: K,
     value: Option<Value>,
-    stamp: Stamp,
+    revision: Revision,
 ) {
     match value.and_then(|v| serde_json::from_value(v).ok()) {
-        Some(v) => table.insert(key, (stamp, v)),
+        Some(v) => table.insert(key, (revision, v)),
         None => table.remove(&key),
     };
 }
@@ -59,10 +59,10 @@
     table: &mut Table<K, Rc<T>>,
     key: K,
     value: Option<Value>,
-    stamp: Stamp,
+    revision: Revision,
 ) {
     match value.and_then(|v| serde_json::from_value(v).ok()) {
-        Some(v) => table.insert(key, (stamp, Rc::new(v))),
+        Some(v) => table.insert(key, (revision, Rc::new(v))),
         None => table.remove(&key),
     };
 }
@@ -75,44 +75,44 @@
             ..Mirror::default()
         };
         for row in rows {
-            self.apply(&row.key, Some(row.value), row.stamp);
+            self.apply(&row.key, Some(row.value), row.revision);
         }
     }
 
     pub fn change(&mut self, c: Change) -> Touched {
         match (c.set, c.delete) {
-            (Some(key), _) => self.apply(&key, Some(c.value), c.stamp),
-            (None, Some(key)) => self.apply(&key, None, c.stamp),
+            (Some(key), _) => self.apply(&key, Some(c.value), c.revision),
+            (None, Some(key)) => self.apply(&key, None, c.revision),
             (None, None) => Touched::Other,
         }
     }
 
-    fn apply(&mut self, key: &str, value: Option<Value>, stamp: Stamp) -> Touched {
+    fn apply(&mut self, key: &str, value: Option<Value>, revision: Revision) -> Touched {
         let parts: Vec<&str> = key.split('/').collect();
         match parts.as_slice() {
             ["r", "term"] => {
                 let rec = value.and_then(|v| serde_json::from_value(v).ok());
-                self.term = rec.map_or_else(Default::default, |r| (stamp, r));
+                self.term = rec.map_or_else(Default::default, |r| (revision, r));
             }
             ["r", "leader"] => {
                 self.leader = value
                     .and_then(|v| serde_json::from_value(v).ok())
-                    .map(|r| (stamp, r));
+                    .map(|r| (revision, r));
             }
             ["r", "types"] => {
                 self.types = value
                     .and_then(|v| serde_json::from_value(v).ok())
-                    .map(|r| (stamp, r));
+                    .map(|r| (revision, r));
             }
-            ["r", "members", label] => put(&mut self.members, Label::from(*label), value, stamp),
-            ["r", "sums", label] => put(&mut self.sums, Label::from(*label), value, stamp),
-            ["r", "hires", name] => put(&mut self.hires, name.to_string(), value, stamp),
+            ["r", "members", label] => put(&mut self.members, Label::from(*label), value, revision),
+            ["r", "sums", label] => put(&mut self.sums, Label::from(*label), value, revision),
+            ["r", "hires", name] => put(&mut self.hires, name.to_string(), value, revision),
             ["r", "blocks", b, what] => {
                 let Ok(b) = b.parse().map(BlockId) else {
                     return Touched::Other;
                 };
                 if *what == "holder" {
-                    put(&mut self.holders, b, value, stamp);
+                    put(&mut self.holders, b, value, revision);
                     return Touched::Holder(b);
                 }
             }
@@ -129,7 +129,7 @@
                         }
                     }
                 }
-                put_rc(&mut self.machines, at, value, stamp);
+                put_rc(&mut self.machines, at, value, revision);
                 if let Some((_, new)) = self.machines.get(&at) {
                     self.home.extend(new.0.keys().map(|id| (id.clone(), at)));
                 }
@@ -137,13 +137,13 @@
             }
             ["r", "jobs", id] => {
                 let id = JobId::from(*id);
-                put_rc(&mut self.jobs, id.clone(), value, stamp);
+                put_rc(&mut self.jobs, id.clone(), value, revision);
                 return Touched::Job(id);
             }
             ["r", "done", id, page] => {
                 if let Ok(page) = page.parse() {
                     let id = JobId::from(*id);
-                    put(&mut self.pages, (id.clone(), page), value, stamp);
+                    put(&mut self.pages, (id.clone(), page), value, revision);
                     return Touched::Page(id, page);
                 }
             }
@@ -152,20 +152,20 @@
         Touched::Other
     }
 
-    /// The stamp of a block's holder key, 0 if it has none.
-    pub fn holder_stamp(&self, b: BlockId) -> Stamp {
-        self.holders.get(&b).map_or(Stamp(0), |h| h.0)
+    /// The revision of a block's holder key, 0 if it has none.
+    pub fn holder_revision(&self, b: BlockId) -> Revision {
+        self.holders.get(&b).map_or(Revision(0), |h| h.0)
     }
 
-    pub fn shard_stamp(&self, at: (BlockId, u32)) -> Stamp {
-        self.machines.get(&at).map_or(Stamp(0), |m| m.0)
+    pub fn shard_revision(&self, at: (BlockId, u32)) -> Revision {
+        self.machines.get(&at).map_or(Revision(0), |m| m.0)
     }
 
     /// A block's shards, in order.
-    pub fn shards(&self, b: BlockId) -> impl Iterator<Item = (u32, Stamp, &Rc<MachinesRec>)> {
+    pub fn shards(&self, b: BlockId) -> impl Iterator<Item = (u32, Revision, &Rc<MachinesRec>)> {
         self.machines
             .range((b, 0)..=(b, u32::MAX))
-            .map(|((_, n), (stamp, rec))| (*n, *stamp, rec))
+            .map(|((_, n), (revision, rec))| (*n, *revision, rec))
     }
 
     pub fn machines_of(&self, b: BlockId) -> impl Iterator<Item = (&MachineId, &MachineRec)> {
@@ -189,19 +189,19 @@
     pub fn holder_alive(&self, rec: &HolderRec) -> bool {
         self.members
             .get(&rec.holder)
-            .is_some_and(|(stamp, _)| *stamp == rec.incarnation)
+            .is_some_and(|(revision, _)| *revision == rec.incarnation)
     }
 
     /// Who handed a block back that nobody has been granted since.
     pub fn resigned(&self, b: BlockId) -> Option<&Label> {
         let (_, rec) = self.holders.get(&b)?;
-        (rec.incarnation == Stamp(0)).then_some(&rec.holder)
+        (rec.incarnation == Revision(0)).then_some(&rec.holder)
     }
 
-    /// A job's progress, with the stamps of its pages.
-    pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Stamp, &ProgressRec)> {
+    /// A job's progress, with the revisions of its pages.
+    pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Revision, &ProgressRec)> {
         let pages = self.pages.range((id.clone(), 0)..=(id.clone(), u32::MAX));
-        pages.map(|((_, page), (stamp, rec))| (*page, *stamp, rec))
+        pages.map(|((_, page), (revision, rec))| (*page, *revision, rec))
     }
 
     /// Progress of jobs that are over, of no use to anyone: some of it.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,7 +4,7 @@
 pub mod mirror;
 
 use crate::clock::Micros;
-use crate::ids::{Stamp, Tenure};
+use crate::ids::{LeaseId, Revision};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -49,16 +49,17 @@
     }
 }
 
-/// A condition: the key's last change must be this one; stamp 0: no such key.
+/// A condition: the key's last change must be this one; revision 0: no such key.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Cond {
     #[serde(rename = "k")]
     pub key: String,
-    pub stamp: Stamp,
+    #[serde(rename = "stamp")]
+    pub revision: Revision,
 }
 
-pub fn cond(key: String, stamp: Stamp) -> Cond {
-    Cond { key, stamp }
+pub fn cond(key: String, revision: Revision) -> Cond {
+    Cond { key, revision }
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -68,8 +69,8 @@
         #[serde(rename = "set")]
         key: String,
         value: Value,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        tenure: Option<Tenure>,
+        #[serde(rename = "tenure", skip_serializing_if = "Option::is_none")]
+        lease_id: Option<LeaseId>,
     },
     Delete {
         #[serde(rename = "delete")]
@@ -81,15 +82,15 @@
     Op::Set {
         key,
         value: serde_json::to_value(value).unwrap_or(Value::Null),
-        tenure: None,
+        lease_id: None,
     }
 }
 
-pub fn set_leased(key: String, value: &impl Serialize, tenure: Tenure) -> Op {
+pub fn set_leased(key: String, value: &impl Serialize, lease_id: LeaseId) -> Op {
     Op::Set {
         key,
         value: serde_json::to_value(value).unwrap_or(Value::Null),
-        tenure: Some(tenure),
+        lease_id: Some(lease_id),
     }
 }
 
@@ -114,10 +115,10 @@
         life: Micros,
     },
     Renew {
-        tenure: Tenure,
+        lease_id: LeaseId,
     },
     EndLease {
-        tenure: Tenure,
+        lease_id: LeaseId,
     },
 }
 
@@ -137,7 +138,8 @@
     #[serde(rename = "k")]
     pub key: String,
     pub value: Value,
-    pub stamp: Stamp,
+    #[serde(rename = "stamp")]
+    pub revision: Revision,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -149,9 +151,9 @@
         more: bool,
         ledger: u64,
     },
-    Committed(Stamp),
+    Committed(Revision),
     Conflict(Vec<String>),
-    Leased(Tenure),
+    Leased(LeaseId),
     Done,
     /// The lease named in a transaction or a renewal has ended.
     LeaseGone,
@@ -168,5 +170,6 @@
     pub delete: Option<String>,
     #[serde(default)]
     pub value: Value,
-    pub stamp: Stamp,
+    #[serde(rename = "stamp")]
+    pub revision: Revision,
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Micros;
 use crate::fairness::{Load, Res};
-use crate::ids::{Attempt, JobId, MachineId, Stamp, TaskId, Term, Token};
+use crate::ids::{AttemptId, FencingToken, JobId, MachineId, Revision, TaskId, Term};
 use crate::jobs::{ImageKey, JobDesc};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,7 +40,7 @@
 pub struct Hand {
     pub hand: String,
     #[serde(rename = "try")]
-    pub attempt: Attempt,
+    pub attempt: AttemptId,
     #[serde(rename = "standing")]
     pub phase: Phase,
     #[serde(default)]
@@ -60,7 +60,7 @@
     pub spot: bool,
     pub shift: u64,
     pub tally: u64,
-    pub baton: Token,
+    pub baton: FencingToken,
     #[serde(rename = "warningS", default)]
     pub warning_s: Option<f64>,
     pub hands: Vec<Hand>,
@@ -72,26 +72,26 @@
     Launch {
         hand: String,
         #[serde(rename = "try")]
-        attempt: Attempt,
+        attempt: AttemptId,
     },
     Halt {
         hand: String,
         #[serde(rename = "try")]
-        attempt: Attempt,
+        attempt: AttemptId,
         #[serde(rename = "leewayS")]
         leeway_s: f64,
     },
     Reap {
         hand: String,
         #[serde(rename = "try")]
-        attempt: Attempt,
+        attempt: AttemptId,
     },
 }
 
 /// The answer to a report that counts.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Orders {
-    pub baton: Token,
+    pub baton: FencingToken,
     pub orders: Vec<Order>,
     /// Not to be sent from then on: our lease may be over.
     #[serde(skip)]
@@ -101,16 +101,16 @@
 /// Commands sent straight to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Direct {
-    pub baton: Token,
+    pub baton: FencingToken,
     pub shift: u64,
     pub orders: Vec<Order>,
 }
 
-pub type Key = (TaskId, Attempt);
+pub type Key = (TaskId, AttemptId);
 
 /// An attempt on a machine, until it is surely over.
 #[derive(Debug, Clone)]
-pub struct Try {
+pub struct Attempt {
     pub phase: Phase,
     pub cause: Option<Cause>,
     /// Whose limit it counts against and what it takes; none: of a job that is not
@@ -130,14 +130,14 @@
     /// Its halt went out.
     pub halt_sent: bool,
     /// Given up before it was shown: over once a report has this token without it.
-    pub abandoned: Option<Token>,
+    pub abandoned: Option<FencingToken>,
     /// Its end is recorded, so the worker may forget it.
     pub reap: bool,
 }
 
-impl Try {
-    pub fn new(phase: Phase, now: Micros, job: Option<(usize, &Rc<JobDesc>)>) -> Try {
-        Try {
+impl Attempt {
+    pub fn new(phase: Phase, now: Micros, job: Option<(usize, &Rc<JobDesc>)>) -> Attempt {
+        Attempt {
             phase,
             cause: None,
             takes: job.map(|(team, desc)| (team, desc.request())),
@@ -210,7 +210,7 @@
     /// Of the newest report that counts; 0: there is none yet.
     pub shift: u64,
     tally: u64,
-    /// Of the last report that did not count, for direct words until one does.
+    /// Of the last report that did not count, for direct commands until one does.
     heard_shift: u64,
     /// Held by an earlier holder: nothing is known of it until a report has our token.
     pub unsettled: bool,
@@ -225,35 +225,35 @@
     /// says may be a late copy.
     pub knocked: bool,
     /// The highest token that a report has shown.
-    seen: Token,
+    seen: FencingToken,
     /// Answers in a row after which it did not show our token.
     unheard: u32,
     /// A report came that looks older than what is known: a late copy, or a worker
-    /// that began anew. Its own answer to a direct word will tell.
+    /// that began anew. Its own answer to a direct command will tell.
     pub doubt: bool,
-    /// Direct words in a row that could not be sent. Its reports do not make up for
+    /// Direct commands in a row that could not be sent. Its reports do not make up for
     /// them: they may arrive while nothing of ours does.
     pub unreached: u32,
     /// When a report of it was last answered with a valid token.
     pub last_answer: Micros,
     /// By when its present session had surely begun: its lease counts from there, too.
     session_from: Micros,
-    pub tries: BTreeMap<Key, Try>,
+    pub tries: BTreeMap<Key, Attempt>,
     pub images: BTreeSet<ImageKey>,
     /// The cloud takes it then.
     pub taken_at: Option<Micros>,
     /// A `/do` is out.
     pub direct_out: bool,
     /// What was known when the last one was sent.
-    word_sent_at: (u64, u64),
+    command_sent_at: (u64, u64),
     /// A `/do` had no answer and may still arrive; over once a report has this token.
-    unfenced: Option<Token>,
+    unfenced: Option<FencingToken>,
     pub draining: bool,
     /// Drained for its silence alone: until it is heard again.
     pub condemned: bool,
     pub leaving: Leaving,
-    /// The stamp of its shard when its record was last to be changed by us.
-    pub left_at: Stamp,
+    /// The revision of its shard when its record was last to be changed by us.
+    pub left_at: Revision,
     /// The shard that it is recorded in.
     pub shard: u32,
     /// Recorded as used: nothing is launched on it before.
@@ -302,7 +302,7 @@
             last_heard: None,
             last_report: None,
             knocked: false,
-            seen: Token(0),
+            seen: FencingToken(0),
             unheard: 0,
             doubt: false,
             unreached: 0,
@@ -312,12 +312,12 @@
             images: BTreeSet::new(),
             taken_at: None,
             direct_out: false,
-            word_sent_at: (0, 0),
+            command_sent_at: (0, 0),
             unfenced: None,
             draining: false,
             condemned: false,
             leaving: Leaving::No,
-            left_at: Stamp(0),
+            left_at: Revision(0),
             shard: 0,
             used: false,
             direct_after: Micros::ZERO,
@@ -331,11 +331,11 @@
         }
     }
 
-    pub fn token(&self) -> Token {
-        Token::of(self.term, self.epoch)
+    pub fn token(&self) -> FencingToken {
+        FencingToken::of(self.term, self.epoch)
     }
 
-    /// The session that a direct word is meant for; a wrong one is refused, with a
+    /// The session that a direct command is meant for; a wrong one is refused, with a
     /// fresh report.
     pub fn session(&self) -> u64 {
         // Most machines are still in their first.
@@ -344,7 +344,7 @@
 
     /// Fences everything that we sent before, delayed `/do` commands included,
     /// without asking the store: the term is ours, the epoch below it too.
-    fn fence(&mut self) -> Token {
+    fn fence(&mut self) -> FencingToken {
         self.epoch += 1;
         self.token()
     }
@@ -413,19 +413,19 @@
     /// an earlier holder sent may still have been on its way when an older one was
     /// made, and a copy of an older one may come at any time.
     pub fn shows_term(&self, r: &Report) -> bool {
-        r.baton >= Token::of(self.term, 0)
+        r.baton >= FencingToken::of(self.term, 0)
     }
 
     /// A report that does not count: from before our term, or older than another.
     pub fn uncounted(&mut self, r: &Report) {
         self.knocked = true;
         self.heard_shift = r.shift;
-        if self.seen > Token(0) && r.baton < self.seen {
+        if self.seen > FencingToken(0) && r.baton < self.seen {
             self.doubt = true;
         }
     }
 
-    /// Its answer to our own direct word is older than what we know: the worker has
+    /// Its answer to our own direct command is older than what we know: the worker has
     /// begun anew and forgotten its token. What was sent before may still reach it,
     /// so that all it had is over only once it shows a token above.
     pub fn reborn(&mut self, now: Micros, r: &Report) {
@@ -439,16 +439,16 @@
         self.unfenced = Some(token);
     }
 
-    /// A direct word is about to go out.
-    pub fn word_sent(&mut self) {
+    /// A direct command is about to go out.
+    pub fn command_sent(&mut self) {
         self.direct_out = true;
-        self.word_sent_at = (self.shift, self.tally);
+        self.command_sent_at = (self.shift, self.tally);
     }
 
-    /// An answer to our direct word was made after we sent it, so it is newer than
+    /// An answer to our direct command was made after we sent it, so it is newer than
     /// all that we knew then, or of a worker that has begun anew.
     pub fn is_reborn(&self, r: &Report) -> bool {
-        self.shift > 0 && (r.shift, r.tally) <= self.word_sent_at
+        self.shift > 0 && (r.shift, r.tally) <= self.command_sent_at
     }
 
     /// Reports arrive, but what they show says that our answers do not: nothing more
@@ -487,7 +487,7 @@
         if r.shift != self.shift {
             // Guards against ending what was started in a session by the age of an
             // answer in an earlier one: a machine whose check-ins do not get through
-            // may well carry out direct words, in session after session.
+            // may well carry out direct commands, in session after session.
             self.session_from = now;
         }
         self.shift = r.shift;
@@ -573,12 +573,13 @@
         keys
     }
 
-    /// A direct word surely did not go out: launches that nothing else carried are
+    /// A direct command surely did not go out: launches that nothing else carried are
     /// given up at once, so that the tasks can go elsewhere.
     pub fn unsent(&mut self) -> Vec<Key> {
         self.direct_out = false;
-        let never = |t: &Try| t.phase == Phase::Launching && t.told == 0 && t.abandoned.is_none();
-        // What an earlier direct word may still carry is not among them.
+        let never =
+            |t: &Attempt| t.phase == Phase::Launching && t.told == 0 && t.abandoned.is_none();
+        // What an earlier direct command may still carry is not among them.
         if self.unfenced.is_some() {
             return Vec::new();
         }
@@ -652,8 +653,8 @@
     }
 
     /// Whether something is to be sent to it that can't wait for its next report.
-    pub fn wants_word(&self) -> bool {
-        let urgent = |t: &Try| match t.phase {
+    pub fn wants_command(&self) -> bool {
+        let urgent = |t: &Attempt| match t.phase {
             Phase::Launching => !t.sent && t.abandoned.is_none(),
             Phase::Exited | Phase::Saving => false,
             _ => t.halt.is_some() && !t.halt_sent,
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -5,7 +5,7 @@
     machine: &str,
     shift: u64,
     tally: u64,
-    baton: Token,
+    baton: FencingToken,
     hands: &[(&str, u64, &str, &str)],
 ) -> Report {
     let hands: Vec<_> = hands
@@ -35,8 +35,8 @@
 }
 
 fn launch(m: &mut Machine, task: &str, attempt: u64) -> Key {
-    let key = (TaskId::parse(task).expect("a task"), Attempt(attempt));
-    let t = Try::new(
+    let key = (TaskId::parse(task).expect("a task"), AttemptId(attempt));
+    let t = Attempt::new(
         Phase::Launching,
         Micros(0),
         Some((0, &Rc::new(desc("j-1", 4)))),
@@ -112,7 +112,7 @@
     m.stop(0.0, |_| true);
     m.observe(
         Micros(1),
-        &report("m", 1, 1, Token(0), &[("j-1/0", 7, "running", "")]),
+        &report("m", 1, 1, FencingToken(0), &[("j-1/0", 7, "running", "")]),
     );
     assert!(matches!(m.orders(true)[..], [Order::Halt { .. }]));
 }
@@ -120,12 +120,12 @@
 #[test]
 fn a_new_session_ends_all_of_the_old_one() {
     let mut m = machine();
-    m.observe(Micros(0), &report("m", 1, 1, Token(0), &[]));
+    m.observe(Micros(0), &report("m", 1, 1, FencingToken(0), &[]));
     let key = launch(&mut m, "j-1/0", 7);
-    let events = m.observe(Micros(1), &report("m", 2, 9, Token(0), &[]));
+    let events = m.observe(Micros(1), &report("m", 2, 9, FencingToken(0), &[]));
     assert_eq!(events, vec![Event::Gone(key)]);
     assert!(
-        !m.newer(&report("m", 1, 50, Token(0), &[])),
+        !m.newer(&report("m", 1, 50, FencingToken(0), &[])),
         "a late report of the old session"
     );
 }
@@ -135,9 +135,9 @@
     let mut m = machine();
     m.unsettled = true;
     launch(&mut m, "j-1/0", 7);
-    assert!(!m.shows_term(&report("m", 4, 1, Token::of(Term(2), 5), &[])));
+    assert!(!m.shows_term(&report("m", 4, 1, FencingToken::of(Term(2), 5), &[])));
     assert!(m.orders(true).is_empty());
-    let r = report("m", 4, 2, Token::of(Term(3), 0), &[]);
+    let r = report("m", 4, 2, FencingToken::of(Term(3), 0), &[]);
     assert!(m.shows_term(&r));
     m.observe(Micros(2), &r);
     assert!(!m.unsettled);
@@ -146,7 +146,7 @@
 #[test]
 fn a_machine_that_never_heeds_an_answer_is_suspect_until_it_does() {
     let mut m = machine();
-    let mut old = report("m", 1, 1, Token(0), &[]);
+    let mut old = report("m", 1, 1, FencingToken(0), &[]);
     for n in 1..=UNHEEDED {
         assert!(!m.suspect());
         old.tally = u64::from(n);
@@ -170,7 +170,13 @@
     let mut m = machine();
     let events = m.observe(
         Micros(1),
-        &report("m", 1, 1, Token(0), &[("nonsense", 1, "running", "")]),
+        &report(
+            "m",
+            1,
+            1,
+            FencingToken(0),
+            &[("nonsense", 1, "running", "")],
+        ),
     );
     assert!(events.is_empty() && m.tries.is_empty());
 }
