A team limit of 0 is none: a guest team is served instead of refused

It was read as a limit of nothing, so that each of its submissions got 422 (log line added: submission refused for good).

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -281,6 +281,7 @@
 }
 
 fn refused(refusal: Refusal) -> Told {
+    tracing::info!(?refusal, "submission refused for good");
     match refusal {
         Refusal::Malformed(why) => Told::No(400, why),
         Refusal::NeverRuns(why) => Told::No(422, why),
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -344,6 +344,35 @@
     assert_eq!(w.running("j-2/0").len(), 1);
 }
 
+/// A guest: nothing is guaranteed to it, so that it comes last, and 0 limits nothing.
+#[test]
+fn a_guest_team_without_guarantee_or_limit_is_served_with_what_is_unused() {
+    let mut w = World::with(1, 3, |v| {
+        let teams = v["settings"]["teams"].as_array_mut().expect("teams");
+        teams.push(serde_json::json!({"name": "guests"}));
+    });
+    w.task_time = Some(crate::clock::Micros::from_secs(4.0));
+    w.pass(6.0);
+    let mut array = desc("j-1", 400);
+    array.team = "guests".into();
+    array.cores = 0.25;
+    array.mem = 0.5;
+    let s = &w.nodes[0].settings;
+    assert_eq!(array.admissible(s, &types()), Ok(()));
+    w.submit(&array);
+    w.pass(2.0);
+    assert_eq!(w.all_running(), 192, "all that there is: four on each core");
+    // Never at the cost of a guarantee: freed room goes to whose it is.
+    w.submit(&desc("j-2", 4));
+    w.pass(6.0);
+    assert_eq!(
+        w.running("j-2/0").len() + usize::from(w.ended("j-2").is_some()),
+        1
+    );
+    w.pass(20.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+}
+
 /// The design's watch item: failing tasks hold nothing, so that their team stayed the
 /// lightest.
 #[test]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -52,9 +52,11 @@
         Res::new(self.cpus, self.gpus, 0.0)
     }
 
-    /// The limit on what its tasks use; memory is not limited.
+    /// The limit on what its tasks use; memory is not limited. 0 is none: guarded by it
+    /// a guest team without a guarantee was refused all that it submitted.
     pub fn limit(&self) -> Res {
-        Res::new(self.cpus_max, self.gpus_max, f64::INFINITY)
+        let most = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
+        Res::new(most(self.cpus_max), most(self.gpus_max), f64::INFINITY)
     }
 }
 
@@ -178,7 +180,7 @@
                     t.name
                 ));
             }
-            if t.cpus > t.cpus_max || t.gpus > t.gpus_max {
+            if !t.guarantee().fits_in(&t.limit()) {
                 return fail(format!(
                     "team {}: more is guaranteed than its limit allows",
                     t.name
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -52,3 +52,14 @@
     s.platform.teams[1].name = "red".into();
     assert!(s.check().unwrap_err().contains("twice"));
 }
+
+#[test]
+fn a_limit_of_0_is_none() {
+    let mut s = settings();
+    (s.platform.teams[0].cpus, s.platform.teams[0].cpus_max) = (0.0, 0.0);
+    assert_eq!(s.check(), Ok(()));
+    assert_eq!(s.platform.teams[0].limit().cores, f64::INFINITY);
+    assert_eq!(s.platform.teams[1].limit().cores, 16.0);
+    s.platform.teams[0].cpus = 8.0;
+    assert_eq!(s.check(), Ok(()), "guaranteed, and not limited beyond");
+}
