--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -462,19 +462,12 @@
     let mut w = started(3, 2);
     w.submit(&desc("j-1", 3));
     w.pass(3.0);
-    let end = |w: &mut World, hand: &str| {
-        for m in &mut w.workers {
-            if let Some(h) = m.hands.get_mut(hand) {
-                (h.1, h.2) = ("exited".into(), Some("done".into()));
-            }
-        }
-    };
-    end(&mut w, "j-1/0");
+    w.finish("j-1/0");
     w.pass(4.0);
     // The second ends while the holder's writes get no answer, and it ends itself.
     let before = w.holder();
     w.nodes[before].late = true;
-    end(&mut w, "j-1/1");
+    w.finish("j-1/1");
     w.pass(3.0);
     w.nodes[before].late = false;
     w.crash(before);
@@ -485,7 +478,7 @@
     assert_eq!(w.ended("j-1"), None);
     w.pass(5.0);
     assert!(w.running("j-1/0").is_empty(), "known to be done");
-    end(&mut w, "j-1/2");
+    w.finish("j-1/2");
     w.pass(6.0);
     assert_eq!(w.ended("j-1"), Some(Standing::Done));
 }
@@ -521,21 +514,14 @@
     let mut w = started(2, 2);
     w.submit(&desc("j-1", 4));
     w.pass(3.0);
-    let end = |w: &mut World, hand: &str| {
-        for m in &mut w.workers {
-            if let Some(h) = m.hands.get_mut(hand) {
-                (h.1, h.2) = ("exited".into(), Some("done".into()));
-            }
-        }
-    };
     let holder = w.holder();
     w.nodes[holder].late = true;
-    end(&mut w, "j-1/0");
+    w.finish("j-1/0");
     w.pass(3.0);
     w.nodes[holder].late = false;
     let late = std::mem::take(&mut w.held_txns);
     assert!(!late.is_empty());
-    end(&mut w, "j-1/1");
+    w.finish("j-1/1");
     w.pass(6.0);
     let done = |w: &World| w.store.keys["r/done/j-1/0000"].1["done"].clone();
     let both = done(&w);
@@ -545,7 +531,7 @@
     assert_eq!(done(&w), both);
     // Nor does one of a job that has ended meanwhile bring anything back.
     w.nodes[holder].late = true;
-    end(&mut w, "j-1/2");
+    w.finish("j-1/2");
     w.pass(3.0);
     w.nodes[holder].late = false;
     let late = std::mem::take(&mut w.held_txns);
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -912,6 +912,15 @@
             .sum()
     }
 
+    /// One task is done, wherever it runs.
+    pub fn finish(&mut self, hand: &str) {
+        for m in &mut self.workers {
+            if let Some(h) = m.hands.get_mut(hand) {
+                (h.1, h.2) = ("exited".into(), Some("done".into()));
+            }
+        }
+    }
+
     pub fn finish_all(&mut self) {
         for h in self
             .workers
