Store changes: what others leave may be used, and whether jobs run is written last

A controller allowed itself two fifths of the changes even where the others needed none, and a job of one task took a change to be shown as running and one more to clear that away (503 changes for 100 such jobs in the scripted world, 3 each are needed). Now the rate of changes rises to what is left and falls when the service refuses one, and what is only for display has a tenth of the changes and comes after finished tasks.

Both tests were seen to fail without their guards.

--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -78,6 +78,9 @@
     dirty: BTreeSet<JobId>,
     /// Progress gives way to all other changes.
     progress: Bucket,
+    /// Of that, whether a job has begun to run at all, which only users see. Guards
+    /// against a flood of small jobs whose beginnings keep their own ends from the store.
+    display: Bucket,
     /// Machines that may have to be told something directly.
     errands: BTreeSet<MachineId>,
     directs_out: usize,
@@ -148,7 +151,7 @@
     ) -> Self {
         let teams: Vec<usize> = rec.teams.iter().filter_map(|t| settings.team(t)).collect();
         // All blocks together leave most changes to what can't wait.
-        let rate = settings.platform.state.write_rps * PROGRESS_PART;
+        let rate = settings.platform.state.write_rps / policy.blocks(settings) as f64;
         Holder {
             block,
             term: rec.term,
@@ -169,7 +172,8 @@
             strangers: BTreeMap::new(),
             failing: BTreeSet::new(),
             dirty: BTreeSet::new(),
-            progress: Bucket::new(rate / policy.blocks(settings) as f64, now),
+            progress: Bucket::new(rate * PROGRESS_PART, now),
+            display: Bucket::new(rate * DISPLAY_PART, now),
             errands: BTreeSet::new(),
             directs_out: 0,
             queues: Queues::new(),
@@ -651,6 +655,8 @@
 const INTRODUCE_AFTER: Micros = Micros::from_millis(2_500);
 /// The part of the store's changes that progress may take, over all blocks.
 const PROGRESS_PART: f64 = 0.35;
+/// The part that whether jobs run may take.
+const DISPLAY_PART: f64 = 0.1;
 
 #[cfg(test)]
 mod tests;
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -32,7 +32,7 @@
                         if job.all_done() {
                             ends.push(id);
                         } else {
-                            due.push((job.write_after, id));
+                            due.push((job.only_display(), job.write_after, id));
                         }
                     } else if !job.writing && now >= job.write_after {
                         self.dirty.remove(&id);
@@ -75,14 +75,17 @@
         (!ids.is_empty()).then_some(Effect::Txn(Write::Ends { ids, reap }, conds, ops))
     }
 
-    fn write_progress(&mut self, now: Micros, due: Vec<(Micros, JobId)>) -> Option<Effect> {
+    fn write_progress(&mut self, now: Micros, due: Vec<(bool, Micros, JobId)>) -> Option<Effect> {
         let budget = self.settings.most_changes();
         let (mut jobs, mut reap) = (Vec::new(), Vec::new());
         let (mut conds, mut ops, mut bytes) = (vec![self.own()], Vec::new(), 0);
-        for (_, id) in due {
+        for (only_display, _, id) in due {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            if only_display && !self.display.take(now, 1.0, 0.0) {
+                break;
+            }
             if ops.len() >= budget || bytes > TXN_BYTES || !self.progress.take(now, 1.0, 0.0) {
                 break;
             }
--- a/src/controller/tests/size.rs
+++ b/src/controller/tests/size.rs
@@ -90,6 +90,33 @@
     assert!(left <= all / 3, "{left} of {all} are still reported");
 }
 
+/// Seen as jobs of one task that waited for minutes to be recorded as done: each took a
+/// change to be shown as running and one more to clear that away.
+#[test]
+fn a_flood_of_small_jobs_costs_little_more_than_their_ends() {
+    let mut w = World::with(1, 4, |v| {
+        v["settings"]["state"]["write_rps"] = 20.0.into();
+    });
+    w.task_time = Some(secs(4.0));
+    w.pass(6.0);
+    let changes = w.store.changes;
+    let jobs = 100;
+    for i in 0..jobs {
+        let mut probe = desc(&format!("j-{i}"), 1);
+        (probe.cores, probe.mem) = (0.1, 0.1);
+        w.submit(&probe);
+        w.pass(0.2);
+    }
+    w.pass(10.0);
+    for i in 0..jobs {
+        assert_eq!(w.ended(&format!("j-{i}")), Some(Standing::Done));
+    }
+    // One to be accepted, two to end.
+    let spent = w.store.changes - changes;
+    let least = 3 * jobs;
+    assert!(spent <= least + least / 2, "{spent} for {jobs} jobs");
+}
+
 #[test]
 fn check_ins_cost_nothing_more_where_nothing_waits_or_nothing_fits() {
     let looked_at = |machines: usize, backlog: u32| {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -453,6 +453,12 @@
             && (self.all_done() || !self.dirty.is_empty() || flipped)
     }
 
+    /// What it has for the store is only whether any of its tasks runs, which users are
+    /// shown and nothing depends on.
+    pub fn only_display(&self) -> bool {
+        !self.all_done() && self.dirty.is_empty()
+    }
+
     /// The job's end, in one transaction of at most `most` changes. Pages that are
     /// left over are litter, which the leader clears.
     pub fn end_ops(&self, most: usize) -> (Vec<Cond>, Vec<Op>) {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -47,9 +47,61 @@
     }
 }
 
+/// A bucket whose rate follows what the others leave: it rises slowly, and falls as soon
+/// as the service refuses a request for its limit. Guards against a holder that may use
+/// only its even share of the changes while the other controllers need almost none.
+#[derive(Debug)]
+pub struct AdaptiveBucket {
+    bucket: Bucket,
+    least: f64,
+    most: f64,
+    risen: Micros,
+    fell: Micros,
+}
+
+/// How much of its highest rate a bucket's rate rises by in a second.
+const RISE: f64 = 0.02;
+/// What is left of the rate when a request was refused for the limit.
+const FALL: f64 = 0.7;
+/// Refusals this soon after one say nothing new.
+const FALL_GAP: Micros = Micros::from_millis(500);
+
+impl AdaptiveBucket {
+    pub fn new(least: f64, most: f64, now: Micros) -> Self {
+        AdaptiveBucket {
+            bucket: Bucket::new(least, now),
+            least,
+            most: most.max(least),
+            risen: now,
+            fell: Micros::ZERO,
+        }
+    }
+
+    /// As [`Bucket::take`].
+    pub fn take(&mut self, now: Micros, n: f64, keep: f64) -> bool {
+        let rise = now.since(self.risen).as_secs() * self.most * RISE;
+        self.risen = now;
+        self.set_rate(now, self.bucket.rate + rise);
+        self.bucket.take(now, n, keep)
+    }
+
+    /// The service has refused a request for its limit.
+    pub fn over_limit(&mut self, now: Micros) {
+        if now.since(self.fell) >= FALL_GAP {
+            self.fell = now;
+            self.set_rate(now, self.bucket.rate * FALL);
+        }
+    }
+
+    fn set_rate(&mut self, now: Micros, rate: f64) {
+        self.bucket.refill(now);
+        self.bucket.rate = rate.clamp(self.least, self.most);
+    }
+}
+
 struct Budget {
     requests: Bucket,
-    writes: Bucket,
+    writes: AdaptiveBucket,
 }
 
 /// A handle for asking the state service; cheap to clone.
@@ -70,6 +122,8 @@
 /// Controllers rarely need their share all at once, and what is over the limit is
 /// refused and asked again: each may use so many shares.
 const OVERBOOKED: f64 = 2.0;
+/// The part of the changes that one controller may come to use while the others leave it.
+const MOST_PART: f64 = 0.85;
 const WAIT: Duration = Duration::from_millis(40);
 
 #[derive(Deserialize)]
@@ -105,7 +159,7 @@
         let part = (share * OVERBOOKED).min(1.0);
         let budget = Budget {
             requests: Bucket::new(rps * part, now),
-            writes: Bucket::new(write_rps * part, now),
+            writes: AdaptiveBucket::new(write_rps * part, write_rps * MOST_PART, now),
         };
         Store {
             pool,
@@ -139,6 +193,12 @@
         loop {
             if self.admit(urgency, writes) {
                 match self.send(&request).await {
+                    Sent::OverLimit if writes > 0 => {
+                        self.budget.borrow_mut().writes.over_limit(self.clock.now());
+                        if urgency == Urgency::Spare {
+                            return Reply::Refused;
+                        }
+                    }
                     // Others used what was left of the limit: once more, a little later.
                     Sent::OverLimit if urgency != Urgency::Spare => {}
                     Sent::OverLimit => return Reply::Refused,
--- a/src/store/client/tests.rs
+++ b/src/store/client/tests.rs
@@ -19,6 +19,29 @@
     assert!(b.take(Micros(800_000), 1.0, 0.1));
 }
 
+/// Seen as jobs of one task that waited for minutes to be recorded as done: their holder
+/// used two fifths of the changes, and the other controllers almost none.
+#[test]
+fn the_rate_of_changes_rises_to_what_others_leave_and_falls_when_refused() {
+    let mut bucket = AdaptiveBucket::new(12.0, 25.0, Micros(0));
+    let passed_in_second = |bucket: &mut AdaptiveBucket, second: u64| {
+        let at = |i: u64| Micros(second * 1_000_000 + i * 10_000);
+        (0..100).filter(|i| bucket.take(at(*i), 1.0, 0.0)).count()
+    };
+    passed_in_second(&mut bucket, 1);
+    assert!(passed_in_second(&mut bucket, 2) <= 13);
+    let later: usize = (3..60).map(|s| passed_in_second(&mut bucket, s)).sum();
+    assert!(later > 57 * 17, "{later} in 57 s");
+    assert!((24..=25).contains(&passed_in_second(&mut bucket, 60)));
+    bucket.over_limit(Micros(61_000_000));
+    bucket.over_limit(Micros(61_100_000));
+    assert!((17..=18).contains(&passed_in_second(&mut bucket, 61)));
+    for refused in 62..80 {
+        bucket.over_limit(Micros(refused * 1_000_000));
+    }
+    assert!(passed_in_second(&mut bucket, 80) >= 12, "its even share");
+}
+
 #[test]
 fn only_clear_answers_are_clear() {
     let txn = Request::Txn {
