A question is not answered by a read that was sent before it

Found by reading: a question about a job that is not live joined a read of its ended record that was out already. If that read had begun before the job was accepted, and the job ended meanwhile (a submission that was refused, accepted elsewhere and cancelled at once, with the state service slow), the answer was 404 for an accepted job. Such a question now waits for a read of its own.

--- a/src/api/desk.rs
+++ b/src/api/desk.rs
@@ -12,6 +12,7 @@
 use crate::jobs::{EndedRec, Footprint, Standing};
 use crate::store::Reply;
 use crate::store::mirror::Mirror;
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 
 /// How a job stands.
@@ -44,12 +45,19 @@
     at: Micros,
 }
 
+/// A record of an ended job is being read.
+struct RecordRead {
+    /// The read was sent after this.
+    after: Micros,
+    tickets: Vec<u64>,
+}
+
 /// Questions that wait for a reading, and how jobs ended that were asked about.
 #[derive(Default)]
 pub struct Desk {
     waiting: Vec<Question>,
-    /// Their record of ended jobs is being read.
-    reading: BTreeMap<JobId, Vec<u64>>,
+    /// Records of ended jobs that are being read.
+    reading: BTreeMap<JobId, RecordRead>,
     ended: BTreeMap<JobId, EndedRec>,
     order: VecDeque<JobId>,
 }
@@ -85,20 +93,40 @@
                 self.waiting.push(q);
                 continue;
             }
-            match live(&q.id, mirror) {
-                Some(found) => out.push(Effect::Found(q.ticket, found)),
-                None => {
-                    let tickets = self.reading.entry(q.id.clone()).or_default();
-                    tickets.push(q.ticket);
-                    if tickets.len() == 1 {
-                        out.push(Effect::ReadEnded(q.id));
-                    }
-                }
+            if let Some(rec) = self.ended.get(&q.id) {
+                out.push(Effect::Found(q.ticket, Found::Ended(rec.clone())));
+            } else if let Some(found) = live(&q.id, mirror) {
+                out.push(Effect::Found(q.ticket, found));
+            } else {
+                out.extend(self.read_record(q, sent));
             }
         }
         out
     }
 
+    /// Reads the record of an ended job, once for all who may be told what it says.
+    fn read_record(&mut self, q: Question, now: Micros) -> Option<Effect> {
+        match self.reading.entry(q.id.clone()) {
+            Entry::Vacant(new) => {
+                new.insert(RecordRead {
+                    after: now,
+                    tickets: vec![q.ticket],
+                });
+                Some(Effect::ReadEnded(q.id))
+            }
+            Entry::Occupied(mut out) if q.at <= out.get().after => {
+                out.get_mut().tickets.push(q.ticket);
+                None
+            }
+            // Guards against a 404 for a job that was accepted and has ended since that
+            // read was sent: this question waits for a read of its own.
+            Entry::Occupied(_) => {
+                self.waiting.push(q);
+                None
+            }
+        }
+    }
+
     /// The record of an ended job was read.
     pub fn ended(&mut self, id: JobId, reply: &Reply) -> Vec<Effect> {
         let found = match reply {
@@ -117,7 +145,7 @@
                 self.ended.remove(&oldest);
             }
         }
-        let tickets = self.reading.remove(&id).unwrap_or_default();
+        let tickets = self.reading.remove(&id).map_or(Vec::new(), |r| r.tickets);
         let tell = |t| Effect::Found(t, found.clone());
         tickets.into_iter().map(tell).collect()
     }
--- a/src/api/desk/tests.rs
+++ b/src/api/desk/tests.rs
@@ -20,6 +20,48 @@
     assert_eq!(d.ask(secs(3.0), "j-1".into(), 8, true), None);
 }
 
+/// The read of a record is slow; meanwhile another node accepts the job and cancels it.
+#[test]
+fn a_record_that_is_being_read_answers_no_question_that_came_later() {
+    let mut d = Desk::default();
+    let mirror = Mirror::default();
+    let id = || JobId::from("j-1");
+    let found = |told: &[Effect]| -> Vec<u64> {
+        let ticket = |e: &Effect| match e {
+            Effect::Found(ticket, _) => Some(*ticket),
+            Effect::ReadEnded(_) => None,
+        };
+        told.iter().filter_map(ticket).collect()
+    };
+    d.ask(secs(2.0), id(), 7, true);
+    let read = d.reading(secs(2.1), &mirror);
+    assert_eq!(read, vec![Effect::ReadEnded(id())]);
+    d.ask(secs(2.5), id(), 8, true);
+    assert_eq!(d.reading(secs(2.6), &mirror), vec![]);
+    let told = d.ended(id(), &Reply::Missing);
+    assert_eq!(told, vec![Effect::Found(7, Found::Nothing)]);
+    let read = d.reading(secs(2.9), &mirror);
+    assert_eq!(read, vec![Effect::ReadEnded(id())]);
+    let row = Row {
+        key: "ended/j-1".into(),
+        value: serde_json::json!({"standing": "cancelled", "tasks": 4}),
+        revision: Revision(5),
+    };
+    assert_eq!(found(&d.ended(id(), &Reply::Found(row))), vec![8]);
+    // Who came while that was read needs no further read.
+    d.ask(secs(3.0), "j-2".into(), 9, true);
+    d.reading(secs(3.1), &mirror);
+    d.ask(secs(3.2), "j-2".into(), 10, true);
+    d.reading(secs(3.3), &mirror);
+    let row = Row {
+        key: "ended/j-2".into(),
+        value: serde_json::json!({"standing": "done", "tasks": 4}),
+        revision: Revision(6),
+    };
+    assert_eq!(found(&d.ended("j-2".into(), &Reply::Found(row))), vec![9]);
+    assert_eq!(found(&d.reading(secs(3.4), &mirror)), vec![10]);
+}
+
 #[test]
 fn one_reading_answers_all_and_an_end_is_remembered() {
     let mut d = Desk::default();
