--- a/src/api/gate.rs
+++ b/src/api/connection_limiter.rs
@@ -15,10 +15,10 @@
 const LEAST_SILENT_S: f64 = 30.0;
 
 #[derive(Clone)]
-pub struct Gate {
+pub struct ConnectionLimiter {
     open: Arc<AtomicUsize>,
     /// Of them, those whose first request has no answer yet.
-    fresh: Arc<Fresh>,
+    fresh: Arc<PendingConnections>,
     started: Instant,
     served: usize,
     crowded: usize,
@@ -32,12 +32,12 @@
 
 /// Connections that wait for their first answer, of this span and the one before.
 #[derive(Default)]
-struct Fresh {
+struct PendingConnections {
     span: AtomicU64,
     counts: [AtomicUsize; 2],
 }
 
-impl Fresh {
+impl PendingConnections {
     fn of(&self, span: u64) -> &AtomicUsize {
         &self.counts[(span % 2) as usize]
     }
@@ -73,7 +73,7 @@
 
 /// A connection's place, free again when the connection is.
 struct Place {
-    gate: Gate,
+    connection_limiter: ConnectionLimiter,
     entered: u64,
     answered: AtomicBool,
 }
@@ -81,7 +81,9 @@
 impl Place {
     fn first_answer(&self) {
         if !self.answered.swap(true, Ordering::Relaxed) {
-            self.gate.fresh.leave(self.entered, self.gate.span());
+            self.connection_limiter
+                .fresh
+                .leave(self.entered, self.connection_limiter.span());
         }
     }
 }
@@ -95,17 +97,17 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.first_answer();
-        self.gate.open.fetch_sub(1, Ordering::Relaxed);
+        self.connection_limiter.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-impl Gate {
+impl ConnectionLimiter {
     pub fn new(settings: &Settings, sockets: &Sockets) -> Self {
         let silent_s = (settings.platform.workers.report_s * SILENT_REPORTS).max(LEAST_SILENT_S);
         // Guards against sockets lost to machines that died or are behind a cut: they
         // never close what they had open, and come back on another connection.
         let silent = Duration::from_secs_f64(silent_s);
-        Gate {
+        ConnectionLimiter {
             open: Arc::default(),
             fresh: Arc::default(),
             started: Instant::now(),
@@ -147,7 +149,7 @@
         self.open.fetch_add(1, Ordering::Relaxed);
         self.fresh.enter(entered);
         Place {
-            gate: self.clone(),
+            connection_limiter: self.clone(),
             entered,
             answered: AtomicBool::new(false),
         }
@@ -155,7 +157,7 @@
 }
 
 #[async_trait]
-impl FusePolicy for Gate {
+impl FusePolicy for ConnectionLimiter {
     async fn decide(&self, _: &FuseInfo) -> FuseAction {
         self.admit()
     }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -1,19 +1,19 @@
 //! HTTP for users, workers and health checks.
 
-pub mod desk;
-mod gate;
+mod connection_limiter;
+pub mod read_index;
 
 use crate::clock::{Steady, time_of_day};
 use crate::controller::core::{Answer, View};
-use crate::controller::{Arrived, Asked, Cancelled, Question};
+use crate::controller::{Arrived, Cancelled, Question, StatusQuery};
 use crate::ids::{JobId, Revision};
-use crate::jobs::{EndedRec, JobDesc, JobRec, Refusal, Standing};
+use crate::jobs::{EndedRecord, JobDesc, JobRecord, Refusal, Standing};
 use crate::settings::Settings;
 use crate::settings::sockets::Sockets;
 use crate::store::{self, Reply, Request as Ask, cond, keys};
 use crate::workers::Report;
-use desk::Found;
-use gate::Gate;
+use connection_limiter::ConnectionLimiter;
+use read_index::Found;
 use salvo::conn::{Listener, TcpListener};
 use salvo::http::StatusCode;
 use salvo::http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -34,7 +34,7 @@
     pub view: watch::Receiver<Arc<View>>,
     pub questions: mpsc::Sender<Question>,
     pub reports: mpsc::Sender<Arrived>,
-    pub asks: mpsc::Sender<Asked>,
+    pub asks: mpsc::Sender<StatusQuery>,
     pub cancels: mpsc::Sender<Cancelled>,
 }
 
@@ -118,7 +118,12 @@
     async fn find(&self, id: &JobId) -> Found {
         let (answer, got) = oneshot::channel();
         let id = id.clone();
-        if self.ports.asks.try_send(Asked { id, answer }).is_err() {
+        if self
+            .ports
+            .asks
+            .try_send(StatusQuery { id, answer })
+            .is_err()
+        {
             return Found::Unreadable;
         }
         match tokio::time::timeout(Duration::from_millis(1_900), got).await {
@@ -145,7 +150,7 @@
             let Some((block, grant, born)) = team.and_then(|t| view.teams.get(t)).copied() else {
                 return self.unless_known(&job.id, NO_STORE).await;
             };
-            let rec = JobRec {
+            let rec = JobRecord {
                 desc: job.clone(),
                 at: time_of_day(),
                 born,
@@ -222,7 +227,7 @@
                 Found::Unreadable => return NO_STORE,
                 found => return known(found, &id),
             };
-            let ended = EndedRec {
+            let ended = EndedRecord {
                 standing: Standing::Cancelled,
                 tasks,
                 footprint: Some(footprint),
@@ -322,7 +327,7 @@
 struct Submit(Api);
 struct Status(Api);
 struct Abort(Api);
-struct CheckIn(Api, Gate);
+struct CheckIn(Api, ConnectionLimiter);
 struct Up(Api);
 
 async fn body(req: &mut Request) -> Option<Vec<u8>> {
@@ -398,7 +403,7 @@
     ports: Ports,
 ) -> Result<(), String> {
     let bind = settings.bind;
-    let gate = Gate::new(&settings, sockets);
+    let connection_limiter = ConnectionLimiter::new(&settings, sockets);
     let api = Api {
         settings,
         clock,
@@ -408,7 +413,7 @@
         .push(Router::with_path("v1/jobs").post(Submit(api.clone())))
         .push(Router::with_path("v1/jobs/{id}").get(Status(api.clone())))
         .push(Router::with_path("v1/jobs/{id}/abort").post(Abort(api.clone())))
-        .push(Router::with_path("checkin").post(CheckIn(api.clone(), gate.clone())))
+        .push(Router::with_path("checkin").post(CheckIn(api.clone(), connection_limiter.clone())))
         .push(Router::with_path("up").get(Up(api)));
     let acceptor = TcpListener::new(bind)
         .try_bind()
@@ -416,7 +421,7 @@
         .map_err(|e| e.to_string())?;
     tokio::spawn(
         Server::new(acceptor)
-            .fuse_policy(gate)
+            .fuse_policy(connection_limiter)
             .serve(Service::new(router)),
     );
     Ok(())
--- a/src/api/desk.rs
+++ b/src/api/read_index.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Micros;
 use crate::ids::{JobId, Revision};
-use crate::jobs::{EndedRec, Footprint, Standing};
+use crate::jobs::{EndedRecord, Footprint, Standing};
 use crate::store::Reply;
 use crate::store::mirror::Mirror;
 use std::collections::btree_map::Entry;
@@ -26,7 +26,7 @@
         done: u32,
         running: u32,
     },
-    Ended(EndedRec),
+    Ended(EndedRecord),
     /// No such job.
     Nothing,
     /// It can't be told now.
@@ -54,11 +54,11 @@
 
 /// Questions that wait for a reading, and how jobs ended that were asked about.
 #[derive(Default)]
-pub struct Desk {
+pub struct ReadIndex {
     waiting: Vec<Question>,
     /// Records of ended jobs that are being read.
     reading: BTreeMap<JobId, RecordRead>,
-    ended: BTreeMap<JobId, EndedRec>,
+    ended: BTreeMap<JobId, EndedRecord>,
     order: VecDeque<JobId>,
 }
 
@@ -67,7 +67,7 @@
 const MOST_WAITING: usize = 2_000;
 const MOST_REMEMBERED: usize = 20_000;
 
-impl Desk {
+impl ReadIndex {
     /// A question. `hopeful`: readings have come of late.
     pub fn ask(&mut self, now: Micros, id: JobId, ticket: u64, hopeful: bool) -> Option<Effect> {
         if let Some(rec) = self.ended.get(&id) {
@@ -130,7 +130,7 @@
     /// The record of an ended job was read.
     pub fn ended(&mut self, id: JobId, reply: &Reply) -> Vec<Effect> {
         let found = match reply {
-            Reply::Found(row) => serde_json::from_value::<EndedRec>(row.value.clone())
+            Reply::Found(row) => serde_json::from_value::<EndedRecord>(row.value.clone())
                 .map_or(Found::Unreadable, Found::Ended),
             Reply::Missing => Found::Nothing,
             _ => Found::Unreadable,
--- a/src/api/desk/tests.rs
+++ b/src/api/read_index/tests.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn a_question_waits_for_a_reading_begun_after_it() {
-    let mut d = Desk::default();
+    let mut d = ReadIndex::default();
     let mirror = Mirror::default();
     assert_eq!(d.ask(secs(2.0), "j-1".into(), 7, true), None);
     // Begun before: another node may have accepted the job in between.
@@ -23,7 +23,7 @@
 /// The read of a record is slow; meanwhile another node accepts the job and cancels it.
 #[test]
 fn a_record_that_is_being_read_answers_no_question_that_came_later() {
-    let mut d = Desk::default();
+    let mut d = ReadIndex::default();
     let mirror = Mirror::default();
     let id = || JobId::from("j-1");
     let found = |told: &[Effect]| -> Vec<u64> {
@@ -64,7 +64,7 @@
 
 #[test]
 fn one_reading_answers_all_and_an_end_is_remembered() {
-    let mut d = Desk::default();
+    let mut d = ReadIndex::default();
     let mut mirror = Mirror::default();
     let rec = crate::jobs::tests::rec("j-1", 4, crate::ids::Term(1));
     let change = |set: &str, value, revision| Change {
@@ -112,7 +112,7 @@
 
 #[test]
 fn without_readings_questions_are_refused_at_once_or_soon() {
-    let mut d = Desk::default();
+    let mut d = ReadIndex::default();
     let refused = Some(Effect::Found(1, Found::Unreadable));
     assert_eq!(d.ask(secs(2.0), "j-1".into(), 1, false), refused);
     assert_eq!(d.ask(secs(2.0), "j-1".into(), 2, true), None);
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -13,7 +13,7 @@
 fn api(view: View, store: Answers, find: Find, orders: Orders) -> Api {
     let (questions, mut asked) = mpsc::channel::<Question>(16);
     let (reports, mut arrivals) = mpsc::channel::<Arrived>(16);
-    let (asks, mut asking) = mpsc::channel::<Asked>(16);
+    let (asks, mut asking) = mpsc::channel::<StatusQuery>(16);
     let (cancels, mut cancelled) = mpsc::channel::<Cancelled>(16);
     tokio::spawn(async move {
         while let Some(q) = asked.recv().await {
@@ -54,17 +54,17 @@
 }
 
 fn orders(until: Micros) -> Orders {
-    let baton = crate::ids::FencingToken(7);
+    let token = crate::ids::FencingToken(7);
     let orders = Vec::new();
     Orders {
-        baton,
+        token,
         orders,
         until,
     }
 }
 
 fn ended(standing: Standing) -> Found {
-    Found::Ended(EndedRec {
+    Found::Ended(EndedRecord {
         standing,
         tasks: 4,
         footprint: None,
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -6,19 +6,21 @@
 mod reports;
 mod starts;
 
-use super::{Freed, HolderRec, MachinesRec};
+use super::{Freed, HolderRecord, MachinesRecord};
 use crate::clock::Micros;
-use crate::fairness::{Res, Weights};
+use crate::fairness::{Resources, Weights};
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
 use crate::jobs::{Job, page_tasks};
-use crate::placement::{self, Coming, Need, Picky, Queues, Rebuilding, Scene};
+use crate::placement::{
+    self, Coming, ConstrainedDemand, Need, Queues, Recovery, SchedulingSnapshot,
+};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::client::Bucket;
 use crate::store::mirror::Mirror;
 use crate::store::{Cond, Op};
-use crate::workers::{Direct, Key, Leaving, Machine, Phase};
+use crate::workers::{AttemptKey, Direct, Leaving, Machine, Phase};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -28,12 +30,12 @@
     /// Jobs that are over.
     Ends {
         ids: Vec<JobId>,
-        reap: Vec<(MachineId, Key)>,
+        reap: Vec<(MachineId, AttemptKey)>,
     },
     /// Pages of jobs' progress.
     Progress {
         jobs: Vec<(JobId, Vec<u32>)>,
-        reap: Vec<(MachineId, Key)>,
+        reap: Vec<(MachineId, AttemptKey)>,
     },
     GiveUp(Vec<MachineId>),
     /// Machines that are used from now on.
@@ -61,17 +63,17 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// The teams' sums over the machines' loads, changed with each of them.
     weights: Weights,
-    rebuilding: Option<Rebuilding>,
+    recovery: Option<Recovery>,
     /// A machine of the take-over has reported: once for all that do in a tick, since
     /// counting walks over the block.
     settled: bool,
     /// Since when all machines of the take-over are known: idleness counts from there.
-    rebuilt: Micros,
+    recovered_at: Micros,
     counter: u64,
     /// Ends that are not stored yet, by job: reaped once they are.
-    unreaped: BTreeMap<JobId, Vec<(MachineId, Key)>>,
+    unreaped: BTreeMap<JobId, Vec<(MachineId, AttemptKey)>>,
     /// Jobs that machines show and that are not known here: over, most likely.
-    strangers: BTreeMap<JobId, Stranger>,
+    unknown_jobs: BTreeMap<JobId, UnknownJob>,
     /// Jobs that failed again and again; some may have got over it since.
     failing: BTreeSet<JobId>,
     /// Jobs that may have something to be stored.
@@ -82,12 +84,12 @@
     /// against a flood of small jobs whose beginnings keep their own ends from the store.
     display: Bucket,
     /// Machines that may have to be told something directly.
-    errands: BTreeSet<MachineId>,
+    pending_commands: BTreeSet<MachineId>,
     directs_out: usize,
     /// The order of waiting jobs, as the last pass over the block left it.
     queues: Queues,
     /// Classes that wait and have little choice of machines.
-    picky: Picky,
+    constrained: ConstrainedDemand,
     /// Machines that freed room is held on.
     held: Vec<MachineId>,
     writing_machines: bool,
@@ -96,7 +98,7 @@
     /// Machines may have been heard that are not recorded as used.
     to_open: bool,
     /// Something changed that a pass over the block should look at.
-    stir: bool,
+    pass_pending: bool,
     next_pass: Micros,
     last_preempt: Micros,
     last_look: Micros,
@@ -110,17 +112,17 @@
     last_give_up: Micros,
     last_open: Micros,
     /// Machines that were compared with a class, for counting what passes cost.
-    pub looked_at: usize,
+    pub machines_compared: usize,
 }
 
 /// A job that is not known here, although a machine has an attempt of it.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Stranger {
+enum UnknownJob {
     /// Its record is to be read, from then on.
     Read(Micros),
     Reading,
     /// None: the record does not say.
-    Known(Option<(usize, Res)>),
+    Known(Option<(usize, Resources)>),
 }
 
 /// A hand-back that is not settled yet.
@@ -143,7 +145,7 @@
 impl Holder {
     pub fn new(
         block: BlockId,
-        rec: &HolderRec,
+        rec: &HolderRecord,
         revision: Revision,
         settings: &Rc<Settings>,
         policy: &Rc<Policy>,
@@ -164,25 +166,25 @@
             jobs: BTreeMap::new(),
             weights: Weights::new(&teams),
             teams,
-            rebuilding: None,
+            recovery: None,
             settled: false,
-            rebuilt: now,
+            recovered_at: now,
             counter: 0,
             unreaped: BTreeMap::new(),
-            strangers: BTreeMap::new(),
+            unknown_jobs: BTreeMap::new(),
             failing: BTreeSet::new(),
             dirty: BTreeSet::new(),
             progress: Bucket::new(rate * PROGRESS_PART, now),
             display: Bucket::new(rate * DISPLAY_PART, now),
-            errands: BTreeSet::new(),
+            pending_commands: BTreeSet::new(),
             directs_out: 0,
             queues: Queues::new(),
-            picky: Picky::default(),
+            constrained: ConstrainedDemand::default(),
             held: Vec::new(),
             writing_machines: false,
             resigning: None,
             to_open: true,
-            stir: true,
+            pass_pending: true,
             next_pass: now,
             last_preempt: now,
             last_look: now,
@@ -192,7 +194,7 @@
             last_report: now,
             last_give_up: Micros::ZERO,
             last_open: Micros::ZERO,
-            looked_at: 0,
+            machines_compared: 0,
         }
     }
 
@@ -200,7 +202,7 @@
     /// until a machine has reported under our token, it may run anything.
     pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
         // For telling which work has a choice of machines.
-        self.picky = Picky::new(types);
+        self.constrained = ConstrainedDemand::new(types);
         let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
         for n in shards {
             self.sync_shard(now, n, mirror, types, true);
@@ -280,11 +282,11 @@
                 continue;
             }
             let build = types.iter().find(|t| t.name == r.build);
-            let capacity = build.map_or(Res::default(), MachineType::capacity);
+            let capacity = build.map_or(Resources::default(), MachineType::capacity);
             let term = self.term.max(r.term);
             let mut m = Machine::new(now, term, &r.build, &r.zone, r.spot, capacity, &r.addr);
             m.shard = shard;
-            m.unsettled = at_grant && r.used;
+            m.unconfirmed = at_grant && r.used;
             m.seasoned = r.used;
             m.used = r.used;
             m.fetch = build.map_or(1.0, |t| t.fetch_gb_per_s);
@@ -292,15 +294,15 @@
             self.weights.add(&m.load, m.capacity);
             self.machines.insert(id.clone(), m);
         }
-        self.count_unsettled(now);
-        self.stir = true;
+        self.count_unconfirmed(now);
+        self.pass_pending = true;
     }
 
     /// A job changed in the store.
     pub fn sync_job(&mut self, id: &JobId, mirror: &Mirror) {
         let Some((revision, rec)) = mirror.jobs.get(id) else {
             if let Some(job) = self.jobs.remove(id) {
-                self.stir = true;
+                self.pass_pending = true;
                 self.unreaped.remove(id);
                 if !job.ended {
                     tracing::info!(block = %self.block, job = %id, "job ended elsewhere: cancelled");
@@ -326,7 +328,7 @@
         // A job whose last task was stored but not its end is ended by us.
         self.dirty.insert(id.clone());
         self.jobs.insert(id.clone(), job);
-        self.stir = true;
+        self.pass_pending = true;
     }
 
     /// A page of a job's progress changed: by our own write, one without an answer
@@ -344,63 +346,63 @@
         if let Some(job) = self.jobs.get_mut(id).filter(|j| !j.ended) {
             job.ended = true;
             self.stop_job(id);
-            self.stir = true;
+            self.pass_pending = true;
         }
     }
 
     /// Stops all that a cancelled job has, or may have, on machines.
     fn stop_job(&mut self, id: &JobId) {
         for (at, m) in &mut self.machines {
-            if !m.tries.keys().any(|(t, _)| t.job == *id) {
+            if !m.attempts.keys().any(|(t, _)| t.job == *id) {
                 continue;
             }
             m.stop(0.0, |(t, _)| t.job == *id);
-            for ((t, _), a) in &mut m.tries {
+            for ((t, _), a) in &mut m.attempts {
                 a.reap |= t.job == *id;
             }
-            self.errands.insert(at.clone());
+            self.pending_commands.insert(at.clone());
         }
     }
 
     /// Whether machines of the take-over are still to report.
-    pub fn rebuilding(&self) -> bool {
-        self.rebuilding.is_some()
+    pub fn recovery(&self) -> bool {
+        self.recovery.is_some()
     }
 
-    fn count_unsettled(&mut self, now: Micros) {
-        let mut silent: Vec<(String, String, bool, Option<Res>)> = Vec::new();
-        for m in self.machines.values().filter(|m| m.unsettled) {
-            let capacity = (m.capacity != Res::default()).then_some(m.capacity);
-            let same = |(b, z, s, c): &(String, String, bool, Option<Res>)| {
+    fn count_unconfirmed(&mut self, now: Micros) {
+        let mut silent: Vec<(String, String, bool, Option<Resources>)> = Vec::new();
+        for m in self.machines.values().filter(|m| m.unconfirmed) {
+            let capacity = (m.capacity != Resources::default()).then_some(m.capacity);
+            let same = |(b, z, s, c): &(String, String, bool, Option<Resources>)| {
                 *b == m.build && *z == m.zone && *s == m.spot && *c == capacity
             };
             if !silent.iter().any(same) {
                 silent.push((m.build.clone(), m.zone.clone(), m.spot, capacity));
             }
         }
-        let rebuilding = (!silent.is_empty()).then_some(Rebuilding {
+        let recovery = (!silent.is_empty()).then_some(Recovery {
             term: self.term,
             silent,
         });
         // Fewer kinds that are silent: more jobs that can't be there.
-        self.stir |= rebuilding != self.rebuilding;
-        let over = self.rebuilding.is_some() && rebuilding.is_none();
-        self.rebuilding = rebuilding;
+        self.pass_pending |= recovery != self.recovery;
+        let over = self.recovery.is_some() && recovery.is_none();
+        self.recovery = recovery;
         if over {
-            self.rebuilt = now;
+            self.recovered_at = now;
             tracing::info!(block = %self.block, term = %self.term, "all machines of the take-over have reported or are over");
         }
     }
 
     /// An attempt is over without a result.
-    fn requeue(&mut self, key: &Key, on: &MachineId) {
+    fn requeue(&mut self, key: &AttemptKey, on: &MachineId) {
         if let Some(job) = self.jobs.get_mut(&key.0.job)
             && job.active.get(&key.0.index) == Some(on)
         {
             job.requeue(key.0.index);
             self.dirty.insert(key.0.job.clone());
         }
-        self.stir = true;
+        self.pass_pending = true;
     }
 
     /// The attempts on a machine changed: so do the sums.
@@ -415,8 +417,8 @@
         }
     }
 
-    fn scene<'a>(&'a self, now: Micros, day: Micros, fleet: Res) -> Scene<'a> {
-        Scene {
+    fn scene<'a>(&'a self, now: Micros, day: Micros, fleet: Resources) -> SchedulingSnapshot<'a> {
+        SchedulingSnapshot {
             settings: &self.settings,
             fleet,
             now,
@@ -425,8 +427,8 @@
             machines: &self.machines,
             teams: &self.teams,
             weights: &self.weights,
-            rebuilding: self.rebuilding.as_ref(),
-            picky: &self.picky,
+            recovery: self.recovery.as_ref(),
+            constrained: &self.constrained,
             failing: self
                 .failing
                 .iter()
@@ -464,7 +466,7 @@
     }
 
     /// What time alone changes.
-    pub fn tick(&mut self, now: Micros, day: Micros, fleet: Res) {
+    pub fn tick(&mut self, now: Micros, day: Micros, fleet: Resources) {
         if now.since(self.last_tick) > LATE {
             self.listening = now;
         }
@@ -474,7 +476,7 @@
             self.look(now);
         }
         if std::mem::take(&mut self.settled) {
-            self.count_unsettled(now);
+            self.count_unconfirmed(now);
         }
         self.decide(now, day, fleet);
     }
@@ -484,7 +486,7 @@
     fn look(&mut self, now: Micros) {
         let over_after = self.settings.worker_over();
         let (intro, quiet, silence) = (
-            now.since(self.granted) > INTRODUCE_AFTER,
+            now.since(self.granted) > TOKEN_COMMAND_AFTER,
             self.reports_of(1.4) + LOOK,
             self.silence(),
         );
@@ -493,7 +495,7 @@
             .retain(|id| jobs.get(id).is_some_and(Job::fails));
         let (mut over, mut ended) = (Vec::new(), Vec::new());
         for (id, m) in &mut self.machines {
-            let busy = m.unsettled || m.tries.values().any(|t| t.phase != Phase::Exited);
+            let busy = m.unconfirmed || m.attempts.values().any(|t| t.phase != Phase::Exited);
             if busy && now.since(m.lease_from()) > over_after {
                 tracing::info!(block = %self.block, machine = %id, "worker's lease is over");
                 ended.extend(m.over().into_iter().map(|k| (k, id.clone())));
@@ -502,18 +504,18 @@
             let since = m.last_heard.map_or(Micros::ZERO, |h| now.since(h));
             if since > quiet && since < silence {
                 // Better to know before something is started there.
-                m.doubt = true;
+                m.needs_probe = true;
             }
-            if m.doubt || m.unsettled && intro {
-                self.errands.insert(id.clone());
+            if m.needs_probe || m.unconfirmed && intro {
+                self.pending_commands.insert(id.clone());
             }
             if let Some(at) = m.taken_at {
                 // What saves does so just before the cloud takes the machine.
                 let saves = |t: &crate::workers::Attempt| {
                     t.desc.as_ref().map(|d| (d.checkpoint_s, d.save_s))
                 };
-                let due: Vec<(Key, f64)> = m
-                    .tries
+                let due: Vec<(AttemptKey, f64)> = m
+                    .attempts
                     .iter()
                     .filter(|(_, t)| t.phase == Phase::Running && t.halt.is_none())
                     .filter_map(|(k, t)| Some((k, saves(t)?)))
@@ -524,7 +526,7 @@
                     .collect();
                 for (key, save) in due {
                     m.stop(save, |k| *k == key);
-                    self.errands.insert(id.clone());
+                    self.pending_commands.insert(id.clone());
                 }
             }
         }
@@ -534,9 +536,9 @@
         for (key, id) in ended {
             self.requeue(&key, &id);
         }
-        self.count_unsettled(now);
+        self.count_unconfirmed(now);
         // Back-off ends, slack shrinks, and machines change without any message.
-        self.stir |= self.jobs.values().any(|j| !j.waiting.is_empty());
+        self.pass_pending |= self.jobs.values().any(|j| !j.waiting.is_empty());
     }
 
     /// Nothing of the block is heard any more: it is we who are cut off.
@@ -561,20 +563,20 @@
         // Guards against a panic after a standstill of our own: each machine has its
         // full time to be heard from then on.
         let listening = self.listening;
-        let (silence, unsettled) = (
+        let (silence, unconfirmed) = (
             self.silence(),
             Micros::from_millis(6_000).max(self.reports_of(1.6)),
         );
         let silent = |m: &Machine| match m.last_heard {
             Some(h) => now.since(h.max(listening).max(m.added)) > silence,
             // Old jobs wait for it, and a live one answers our direct command at once.
-            None if m.unsettled => now.since(m.added.max(listening)) > unsettled,
+            None if m.unconfirmed => now.since(m.added.max(listening)) > unconfirmed,
             None => now.since(m.added) > NEVER_HEARD,
         };
         // Alive, but its reports reach nobody: it keeps what it has until its lease ends,
         // and is replaced as soon as it has nothing, or nothing to come of it.
         let lease = Micros::from_secs(self.settings.platform.workers.lease_s);
-        let idle = |m: &Machine| m.tries.values().all(|t| t.phase == Phase::Exited);
+        let idle = |m: &Machine| m.attempts.values().all(|t| t.phase == Phase::Exited);
         let mute = |m: &Machine| {
             let since = m.last_report.unwrap_or(m.added).max(m.added).max(listening);
             m.last_heard.is_some()
@@ -594,7 +596,7 @@
     }
 
     /// The room that waiting work lacks.
-    pub fn needs(&self, now: Micros, day: Micros, fleet: Res) -> Vec<Need> {
+    pub fn needs(&self, now: Micros, day: Micros, fleet: Resources) -> Vec<Need> {
         let mut coming: Vec<Coming<'_>> = Vec::new();
         for m in self
             .machines
@@ -627,12 +629,12 @@
         for j in self.jobs.values().filter(|j| !j.ended) {
             *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
         }
-        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), errands = self.errands.len(), looked_at = self.looked_at, "use");
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, "use");
     }
 
     /// Each team's heaviness, for the sums; they are made anew from the machines'
     /// loads each time, so that no rounding adds up.
-    pub fn sums(&mut self, fleet: Res) -> BTreeMap<String, f64> {
+    pub fn sums(&mut self, fleet: Resources) -> BTreeMap<String, f64> {
         let mut weights = Weights::new(&self.teams);
         for m in self.machines.values() {
             weights.add(&m.load, m.capacity);
@@ -652,7 +654,7 @@
 const NOTICE_MARGIN_S: f64 = 3.0;
 /// Machines of a take-over report by themselves; those that have not by then are
 /// spoken to.
-const INTRODUCE_AFTER: Micros = Micros::from_millis(2_500);
+const TOKEN_COMMAND_AFTER: Micros = Micros::from_millis(2_500);
 /// The part of the store's changes that progress may take, over all blocks.
 const PROGRESS_PART: f64 = 0.35;
 /// The part that whether jobs run may take.
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -1,13 +1,13 @@
 //! What the holder records: jobs' ends and progress, machines in use or given up.
 
-use super::{Effect, Freed, Holder, MachinesRec, Resigning, Write};
-use crate::blocks::HolderRec;
+use super::{Effect, Freed, Holder, MachinesRecord, Resigning, Write};
+use crate::blocks::HolderRecord;
 use crate::clock::Micros;
 use crate::ids::{JobId, MachineId, Revision};
 use crate::placement::{self, Need};
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, Reply, TXN_BYTES, cond, keys};
-use crate::workers::{Key, Leaving, Machine};
+use crate::workers::{AttemptKey, Leaving, Machine};
 
 /// A job's progress is batched for this long, and longer where all blocks' progress
 /// would take more of the store's changes than its part.
@@ -102,7 +102,7 @@
             // nothing of the job was reaped, until its holder could not read all that its
             // machines reported in time.
             if let Some(ended) = self.unreaped.get_mut(&id) {
-                let stored = |(_, key): &mut (MachineId, Key)| !job.is_dirty(key.0.index);
+                let stored = |(_, key): &mut (MachineId, AttemptKey)| !job.is_dirty(key.0.index);
                 reap.extend(ended.extract_if(.., stored));
             }
             jobs.push((id, pages));
@@ -137,7 +137,7 @@
                 for id in ids.iter().filter(|_| matches!(reply, Reply::Committed(_))) {
                     if let Some(m) = self.machines.get_mut(id) {
                         m.used = true;
-                        self.stir = true;
+                        self.pass_pending = true;
                     }
                 }
             }
@@ -197,11 +197,11 @@
     }
 
     /// A worker forgets an attempt only once its end is stored.
-    fn reap(&mut self, reap: Vec<(MachineId, Key)>, reply: &Reply) {
+    fn reap(&mut self, reap: Vec<(MachineId, AttemptKey)>, reply: &Reply) {
         for (machine, key) in reap {
             if matches!(reply, Reply::Committed(_)) {
                 let m = self.machines.get_mut(&machine);
-                if let Some(t) = m.and_then(|m| m.tries.get_mut(&key)) {
+                if let Some(t) = m.and_then(|m| m.attempts.get_mut(&key)) {
                     t.reap = true;
                 }
             } else if self.jobs.contains_key(&key.0.job) {
@@ -218,7 +218,7 @@
     fn change_shards(
         &mut self,
         mirror: &Mirror,
-        mut change: impl FnMut(&MachineId, &mut Machine, &mut super::super::MachineRec) -> bool,
+        mut change: impl FnMut(&MachineId, &mut Machine, &mut super::super::MachineRecord) -> bool,
         write: impl Fn(Vec<MachineId>) -> Write,
     ) -> Option<Effect> {
         let (mut ids, mut conds, mut ops, mut bytes) = (vec![], vec![self.own()], vec![], 0);
@@ -227,7 +227,7 @@
             if ops.len() >= most || bytes > TXN_BYTES {
                 break;
             }
-            let mut new: Option<MachinesRec> = None;
+            let mut new: Option<MachinesRecord> = None;
             for (id, old_rec) in &old.0 {
                 let Some(m) = self.machines.get_mut(id) else {
                     continue;
@@ -258,7 +258,7 @@
     /// Records machines that were heard for the first time as used, before the
     /// first launch there.
     pub fn open(&mut self, now: Micros, mirror: &Mirror) -> Option<Effect> {
-        let new = |m: &Machine| !m.used && m.knocked && m.leaving == Leaving::No;
+        let new = |m: &Machine| !m.used && m.reported && m.leaving == Leaving::No;
         // Batched: many come up at once, and the mirror may lag behind our own last
         // write, so that the next one would fail as fast as the store can answer.
         if self.writing_machines || now.since(self.last_open) < OPEN_GAP || !self.to_open {
@@ -266,7 +266,7 @@
         }
         self.last_open = now;
         self.to_open = false;
-        let open = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
+        let open = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRecord| {
             let opens = new(m) && !rec.used;
             if opens {
                 rec.used = true;
@@ -292,8 +292,12 @@
         let (heard, policy) = (self.heard_within(), self.policy.clone());
         // Guards against returning what old jobs will use once they may start: while
         // the take-over waits for silent machines, nothing is idle by choice.
-        let idle_from = if self.rebuilding() { now } else { self.rebuilt };
-        let go = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRec| {
+        let idle_from = if self.recovery() {
+            now
+        } else {
+            self.recovered_at
+        };
+        let go = |_: &MachineId, m: &mut Machine, rec: &mut super::super::MachineRecord| {
             if m.leaving == Leaving::Unsure && m.empty() {
                 // Tried before without an answer: again, since it may be done.
                 rec.freed = Some(Freed::Return);
@@ -371,7 +375,7 @@
             .iter()
             .map(|t| self.settings.platform.teams[*t].name.clone())
             .collect();
-        let rec = HolderRec {
+        let rec = HolderRecord {
             holder: self.me.clone(),
             incarnation: Revision(0),
             term: self.term,
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -1,12 +1,12 @@
 //! What machines report, and what follows from it.
 
-use super::{Effect, Holder, Stranger};
+use super::{Effect, Holder, UnknownJob};
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::ids::{JobId, MachineId};
-use crate::jobs::EndedRec;
+use crate::jobs::EndedRecord;
 use crate::store::Reply;
-use crate::workers::{Attempt, Cause, Event, Key, Leaving, Orders, Phase, Report};
+use crate::workers::{Attempt, AttemptKey, Cause, Event, Leaving, Orders, Phase, Report};
 use std::collections::btree_map::Entry;
 
 /// Records of ended jobs that are read at once.
@@ -19,7 +19,7 @@
         &mut self,
         now: Micros,
         day: Micros,
-        fleet: Res,
+        fleet: Resources,
         until: Micros,
         r: &Report,
     ) -> Option<Orders> {
@@ -33,7 +33,7 @@
         let m = self.machines.get_mut(&r.machine)?;
         m.answered(now, r);
         Some(Orders {
-            baton: m.token(),
+            token: m.token(),
             // What does not count gets the token and nothing else: the next report
             // will show it.
             orders: if counts { m.orders(true) } else { Vec::new() },
@@ -52,12 +52,12 @@
             // A late copy is older than what is known: it says nothing, not even
             // that the machine lives.
             m.uncounted(r);
-            if m.doubt {
-                self.errands.insert(r.machine.clone());
+            if m.needs_probe {
+                self.pending_commands.insert(r.machine.clone());
             }
             return None;
         }
-        if r.baton > m.token() {
+        if r.token > m.token() {
             // Somebody holds this machine under a higher term: the worker would drop
             // our answer, and stay here while its lease runs out.
             return None;
@@ -80,7 +80,7 @@
         let Some(m) = self.machines.get_mut(&r.machine) else {
             return;
         };
-        let was_unsettled = m.unsettled;
+        let was_unsettled = m.unconfirmed;
         let events = m.observe(now, r);
         let changed = was_unsettled || !events.is_empty();
         for event in events {
@@ -103,12 +103,12 @@
             return;
         };
         m.direct_out = false;
-        m.doubt = false;
-        m.unreached = 0;
+        m.needs_probe = false;
+        m.unsent_commands = 0;
         // Refused for its session: send again under the right one. A higher
         // token than ours means that we are fenced, so not then.
-        if r.baton <= m.token() {
-            m.tries
+        if r.token <= m.token() {
+            m.attempts
                 .values_mut()
                 .filter(|t| t.phase == Phase::Launching)
                 .for_each(|t| t.sent = false);
@@ -118,11 +118,11 @@
             m.reborn(now, &r);
         } else if !m.shows_term(&r) {
             m.uncounted(&r);
-            m.doubt = false;
+            m.needs_probe = false;
         } else if m.newer(&r) {
             self.take_in(now, &r);
         }
-        self.errands.insert(id.clone());
+        self.pending_commands.insert(id.clone());
     }
 
     /// It surely did not go out: there is nothing to fence.
@@ -132,11 +132,11 @@
             return;
         };
         m.direct_after = now + super::starts::DIRECT_AGAIN;
-        m.introductions = m.introductions.saturating_sub(1);
+        m.token_commands = m.token_commands.saturating_sub(1);
         // It can't be reached: what was to start there starts elsewhere, and nothing
         // more is tried there until it reports.
-        m.unreached += 1;
-        m.doubt = true;
+        m.unsent_commands += 1;
+        m.needs_probe = true;
         let keys = m.unsent();
         self.reweigh(id);
         for key in keys {
@@ -159,20 +159,27 @@
     }
 
     /// A task that a machine shows and we did not start.
-    fn adopt(&mut self, now: Micros, on: &MachineId, key: Key, phase: Phase, cause: Option<Cause>) {
+    fn adopt(
+        &mut self,
+        now: Micros,
+        on: &MachineId,
+        key: AttemptKey,
+        phase: Phase,
+        cause: Option<Cause>,
+    ) {
         let job = self.jobs.get_mut(&key.0.job);
         let index = key.0.index;
         let mut t = Attempt::new(phase, now, job.as_ref().map(|j| (j.team, &j.desc)));
         t.cause = cause;
         if t.takes.is_none() && phase != Phase::Exited {
-            match self.strangers.entry(key.0.job.clone()) {
+            match self.unknown_jobs.entry(key.0.job.clone()) {
                 Entry::Occupied(known) => {
-                    if let Stranger::Known(takes) = known.get() {
+                    if let UnknownJob::Known(takes) = known.get() {
                         t.takes = *takes;
                     }
                 }
                 Entry::Vacant(new) => {
-                    new.insert(Stranger::Read(now));
+                    new.insert(UnknownJob::Read(now));
                 }
             }
         }
@@ -201,7 +208,7 @@
         if phase == Phase::Running {
             m.images.extend(t.image());
         }
-        m.tries.insert(key.clone(), t);
+        m.attempts.insert(key.clone(), t);
         if phase == Phase::Exited && ours {
             self.ended(now, on, key, cause.unwrap_or(Cause::Other));
         }
@@ -209,9 +216,9 @@
 
     /// Reads of the records of jobs that machines show and that are not known here.
     pub fn reads(&mut self, now: Micros) -> Vec<Effect> {
-        let due = self.strangers.iter_mut().filter_map(|(id, s)| match s {
-            Stranger::Read(at) if now >= *at => {
-                *s = Stranger::Reading;
+        let due = self.unknown_jobs.iter_mut().filter_map(|(id, s)| match s {
+            UnknownJob::Read(at) if now >= *at => {
+                *s = UnknownJob::Reading;
                 Some(Effect::ReadEnded(id.clone()))
             }
             _ => None,
@@ -222,21 +229,22 @@
     /// The record of an ended job was read, or not.
     pub fn read_ended(&mut self, now: Micros, id: &JobId, reply: &Reply) {
         let takes = match reply {
-            Reply::Found(row) => serde_json::from_value::<EndedRec>(row.value.clone())
+            Reply::Found(row) => serde_json::from_value::<EndedRecord>(row.value.clone())
                 .ok()
                 .and_then(|rec| rec.footprint)
                 .and_then(|f| Some((self.settings.team(&f.team)?, f.request))),
             Reply::Missing => None,
             _ => {
-                let again = Stranger::Read(now + READ_AGAIN);
-                self.strangers.insert(id.clone(), again);
+                let again = UnknownJob::Read(now + READ_AGAIN);
+                self.unknown_jobs.insert(id.clone(), again);
                 return;
             }
         };
-        self.strangers.insert(id.clone(), Stranger::Known(takes));
+        self.unknown_jobs
+            .insert(id.clone(), UnknownJob::Known(takes));
         let mut on: Vec<MachineId> = Vec::new();
         for (at, m) in &mut self.machines {
-            for (_, t) in m.tries.iter_mut().filter(|(k, _)| k.0.job == *id) {
+            for (_, t) in m.attempts.iter_mut().filter(|(k, _)| k.0.job == *id) {
                 t.takes = t.takes.or(takes);
                 on.push(at.clone());
             }
@@ -244,10 +252,10 @@
         for at in on {
             self.reweigh(&at);
         }
-        self.stir = true;
+        self.pass_pending = true;
     }
 
-    fn ended(&mut self, now: Micros, on: &MachineId, key: Key, cause: Cause) {
+    fn ended(&mut self, now: Micros, on: &MachineId, key: AttemptKey, cause: Cause) {
         let job = self.jobs.get_mut(&key.0.job);
         if cause == Cause::Done
             && let Some(job) = job
@@ -266,7 +274,7 @@
             return;
         }
         if let Some(m) = self.machines.get_mut(on) {
-            if let Some(t) = m.tries.get_mut(&key) {
+            if let Some(t) = m.attempts.get_mut(&key) {
                 t.reap = true;
             }
             if let Some(job) = job
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -2,9 +2,9 @@
 
 use super::{Effect, Holder};
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::ids::{AttemptId, MachineId, TaskId};
-use crate::placement::{self, Choice, Floor, Placed};
+use crate::placement::{self, CandidateMachines, Choice, Placed};
 use crate::workers::{Attempt, Direct, Leaving, Phase};
 
 /// After an attempt to connect failed.
@@ -23,23 +23,25 @@
 
 impl Holder {
     /// Decides over the whole block what to start, if anything changed.
-    pub(super) fn decide(&mut self, now: Micros, day: Micros, fleet: Res) {
-        if !self.stir || now < self.next_pass || self.resigns() {
+    pub(super) fn decide(&mut self, now: Micros, day: Micros, fleet: Resources) {
+        if !self.pass_pending || now < self.next_pass || self.resigns() {
             return;
         }
-        self.stir = false;
+        self.pass_pending = false;
         let queues = placement::queues(&self.scene(now, day, fleet));
-        let waiting = self.picky.waiting(&self.scene(now, day, fleet), &queues);
-        self.picky.set_waiting(waiting);
+        let waiting = self
+            .constrained
+            .waiting(&self.scene(now, day, fleet), &queues);
+        self.constrained.set_waiting(waiting);
         let scene = self.scene(now, day, fleet);
         let mut cost = 0;
         if !queues.is_empty() {
-            let floor = Floor::whole(&scene);
+            let floor = CandidateMachines::whole(&scene);
             cost = floor.len();
             let placed = placement::place(&scene, &queues, floor, PASS_REACH, MOST_STARTS);
-            cost += placed.looked_at;
-            self.stir = placed.choices.len() >= MOST_STARTS;
-            self.looked_at += placed.looked_at;
+            cost += placed.machines_compared;
+            self.pass_pending = placed.choices.len() >= MOST_STARTS;
+            self.machines_compared += placed.machines_compared;
             self.hold(&placed);
             self.start(now, day, placed.choices, true);
         } else {
@@ -72,7 +74,7 @@
 
     /// Room got free on a machine that is about to be answered: what comes next
     /// there is decided without a look at any other machine.
-    pub(super) fn refill(&mut self, now: Micros, day: Micros, fleet: Res, id: &MachineId) {
+    pub(super) fn refill(&mut self, now: Micros, day: Micros, fleet: Resources, id: &MachineId) {
         if self.queues.is_empty() {
             return;
         }
@@ -80,11 +82,11 @@
         let Some((id, _)) = self.machines.get_key_value(id) else {
             return;
         };
-        let Some(floor) = Floor::one(&scene, id) else {
+        let Some(floor) = CandidateMachines::one(&scene, id) else {
             return;
         };
         let placed = placement::place(&scene, &self.queues, floor, REFILL_REACH, MOST_STARTS);
-        self.looked_at += placed.looked_at;
+        self.machines_compared += placed.machines_compared;
         self.start(now, day, placed.choices, false);
     }
 
@@ -114,18 +116,18 @@
                 job: c.job,
                 index: c.index,
             };
-            m.tries.insert((task, attempt), t);
+            m.attempts.insert((task, attempt), t);
             self.reweigh(&c.machine);
             if tell {
-                self.errands.insert(c.machine);
+                self.pending_commands.insert(c.machine);
             }
         }
     }
 
     /// Stops work for what found no room and comes before it.
-    fn preempt(&mut self, now: Micros, day: Micros, fleet: Res) {
+    fn preempt(&mut self, now: Micros, day: Micros, fleet: Resources) {
         let preemption = placement::preempt(&self.scene(now, day, fleet));
-        self.looked_at += preemption.looked_at;
+        self.machines_compared += preemption.machines_compared;
         for s in preemption.stops {
             let Some(m) = self.machines.get_mut(&s.machine) else {
                 continue;
@@ -134,7 +136,7 @@
                 tracing::debug!(block = %self.block, task = %key.0, attempt = %key.1, r#for = %s.reserve.job, "preempt");
                 m.stop(*leeway_s, |k| k == key);
             }
-            self.errands.insert(s.machine.clone());
+            self.pending_commands.insert(s.machine.clone());
             match m.reserved.iter_mut().find(|r| r.job == s.reserve.job) {
                 Some(r) => {
                     r.count += s.reserve.count;
@@ -154,7 +156,7 @@
         }
         let heard_within = self.heard_within();
         let mut done = Vec::new();
-        for id in &self.errands {
+        for id in &self.pending_commands {
             if self.directs_out + out.len() >= MOST_DIRECTS {
                 break;
             }
@@ -168,9 +170,9 @@
             };
             // Once to learn the session, once under it; more would only pile up
             // behind a cut, and the machine's own next report does as well.
-            let introduce = m.unsettled && m.introductions <= 1;
+            let introduce = m.unconfirmed && m.token_commands <= 1;
             let reachable = m.quiet() && m.last_heard.is_some_and(|h| now.since(h) < heard_within);
-            let word = m.wants_command() && (reachable && m.shift > 0 || m.doubt);
+            let word = m.wants_command() && (reachable && m.session > 0 || m.needs_probe);
             if !introduce && !word || m.addr.is_empty() {
                 if !m.direct_out {
                     done.push(id.clone());
@@ -180,7 +182,7 @@
             if m.direct_out || now < m.direct_after {
                 continue;
             }
-            m.introductions += u32::from(introduce);
+            m.token_commands += u32::from(introduce);
             m.command_sent();
             m.direct_after = now + DIRECT_GAP;
             // A direct command goes out under the token that was shown; orders only
@@ -191,14 +193,14 @@
                 Vec::new()
             };
             let direct = Direct {
-                baton: m.token(),
-                shift: m.session(),
+                token: m.token(),
+                session: m.session(),
                 orders,
             };
             out.push(Effect::Do(id.clone(), m.addr.clone(), direct));
         }
         for id in done {
-            self.errands.remove(&id);
+            self.pending_commands.remove(&id);
         }
         self.directs_out += out.len();
         out
--- a/src/blocks/holder/tests.rs
+++ b/src/blocks/holder/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::blocks::MachineRec;
+use crate::blocks::MachineRecord;
 use crate::ids::FencingToken;
 use crate::jobs::tests::{rec, types};
 use crate::policy::tests::standard;
@@ -23,11 +23,11 @@
 
 fn shard(mirror: &mut Mirror, machines: &[&str], revision: u64) {
     let used = |id: &&str| {
-        let mut rec = MachineRec::blank("10.1.0.1:9000".into(), "big", "x", false);
+        let mut rec = MachineRecord::blank("10.1.0.1:9000".into(), "big", "x", false);
         rec.used = true;
         (MachineId::from(*id), rec)
     };
-    let rec = MachinesRec(machines.iter().map(used).collect());
+    let rec = MachinesRecord(machines.iter().map(used).collect());
     let value = serde_json::to_value(rec).expect("a record");
     told(mirror, keys::machines(BlockId(0), 0), value, revision);
 }
@@ -35,14 +35,14 @@
 struct Bench {
     h: Holder,
     mirror: Mirror,
-    tally: u64,
+    sequence: u64,
 }
 
 impl Bench {
     /// A holder of one block with one machine that has nothing to do.
     fn new() -> Bench {
         let settings = Rc::new(settings());
-        let grant = HolderRec {
+        let grant = HolderRecord {
             holder: settings.label.clone(),
             incarnation: Revision(1),
             term: Term(3),
@@ -57,15 +57,15 @@
         Bench {
             h,
             mirror,
-            tally: 0,
+            sequence: 0,
         }
     }
 
     fn report(&mut self, now: Micros) {
-        self.tally += 1;
+        self.sequence += 1;
         let token = FencingToken::of(Term(3), 0);
-        let r = report("m-1", 1, self.tally, token, &[]);
-        let fleet = Res::new(16.0, 0.0, 64.0);
+        let r = report("m-1", 1, self.sequence, token, &[]);
+        let fleet = Resources::new(16.0, 0.0, 64.0);
         self.h.check_in(now, now, fleet, now + secs(9.0), &r);
         self.h.tick(now, now, fleet);
     }
@@ -85,10 +85,10 @@
     let mut b = Bench::new();
     shard(&mut b.mirror, &["m-1", "m-2"], 6);
     b.h.sync_shard(secs(1.0), 0, &b.mirror, &types(), false);
-    let fleet = Res::new(32.0, 0.0, 128.0);
+    let fleet = Resources::new(32.0, 0.0, 128.0);
     let both = |b: &mut Bench, now: Micros| {
         b.report(now);
-        let r = report("m-2", 1, b.tally, FencingToken::of(Term(3), 0), &[]);
+        let r = report("m-2", 1, b.sequence, FencingToken::of(Term(3), 0), &[]);
         b.h.check_in(now, now, fleet, now + secs(9.0), &r);
     };
     for s in [2.0, 4.0] {
@@ -133,7 +133,11 @@
     told(&mut b.mirror, keys::job(&"j-1".into()), job, 7);
     b.h.sync_job(&"j-1".into(), &b.mirror);
     b.report(secs(104.0));
-    assert_eq!(b.h.machines[&"m-1".into()].tries.len(), 1, "in use again");
+    assert_eq!(
+        b.h.machines[&"m-1".into()].attempts.len(),
+        1,
+        "in use again"
+    );
     b.h.stored(secs(105.5), second, &Reply::Unknown);
     assert_eq!(b.give_up(secs(106.0)), None);
     assert_eq!(b.h.machines[&"m-1".into()].leaving, Leaving::No);
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -1,7 +1,7 @@
 //! The leader's grants: a block without a living holder goes whole to one
 //! member, under a new term.
 
-use super::{HolderRec, TermRec};
+use super::{HolderRecord, TermRecord};
 use crate::clock::Micros;
 use crate::ids::{BlockId, Label, Revision, Term};
 use crate::settings::Settings;
@@ -32,7 +32,7 @@
     let (revision, rec) = mirror.term;
     let op = store::set(
         keys::TERM.into(),
-        &TermRec {
+        &TermRecord {
             last: Term(rec.last.0 + n),
         },
     );
@@ -89,7 +89,7 @@
             .filter(|(t, _)| block_of(mirror, settings, blocks, *t) == b)
             .map(|(_, team)| team.name.clone())
             .collect();
-        let rec = HolderRec {
+        let rec = HolderRecord {
             holder: (*label).clone(),
             incarnation,
             term: Term(first.0 + i as u64),
@@ -111,9 +111,9 @@
 pub enum Standing {
     Heard,
     /// It hears no other member, but holds a block.
-    LonelyHolder,
+    IsolatedHolder,
     /// It hears no other member, or lately none of its machines.
-    Lonely,
+    Isolated,
 }
 
 /// Who may stand for leader, and after how long without one: in the order of
@@ -141,8 +141,8 @@
             Standing::Heard => Micros::ZERO,
             // Whoever hears none of the others may be the one that is cut off. But if
             // nobody hears anybody, only a holder knows what room its block lacks.
-            Standing::LonelyHolder => Micros::from_millis(3_000),
-            Standing::Lonely => Micros::from_millis(4_000),
+            Standing::IsolatedHolder => Micros::from_millis(3_000),
+            Standing::Isolated => Micros::from_millis(4_000),
         };
     now.since(without_since) >= wait
 }
--- a/src/blocks/leader/tests.rs
+++ b/src/blocks/leader/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::blocks::{LeaderRec, MemberRec};
+use crate::blocks::{LeaderRecord, MemberRecord};
 use crate::ids::LeaseId;
 use crate::settings::tests::settings;
 
@@ -10,14 +10,14 @@
     };
     m.leader = Some((
         Revision(5),
-        LeaderRec {
+        LeaderRecord {
             holder: Label::from("c0"),
             incarnation: Revision(1),
         },
     ));
-    m.term = (Revision(4), TermRec { last: Term(9) });
+    m.term = (Revision(4), TermRecord { last: Term(9) });
     for (label, revision) in members {
-        let rec = MemberRec {
+        let rec = MemberRecord {
             addr: String::new(),
             lease_id: LeaseId(*revision),
         };
@@ -36,7 +36,7 @@
     grants(m, leader, &settings(), blocks, fit)
 }
 
-fn granted(ops: &[Op]) -> Vec<(String, HolderRec)> {
+fn granted(ops: &[Op]) -> Vec<(String, HolderRecord)> {
     ops.iter()
         .filter_map(|op| match op {
             Op::Set { key, value, .. } if key.ends_with("holder") => Some((
@@ -67,7 +67,7 @@
 fn a_dead_holders_block_goes_whole_to_a_survivor_and_keeps_its_teams() {
     let mut m = mirror(&[("c0", 1), ("c1", 20)]);
     // c1 came back as a new incarnation: its old grant is void.
-    let old = HolderRec {
+    let old = HolderRecord {
         holder: "c1".into(),
         incarnation: Revision(2),
         term: Term(7),
@@ -86,7 +86,7 @@
 #[test]
 fn only_the_leader_grants_and_a_living_holder_keeps_its_block() {
     let mut m = mirror(&[("c0", 1)]);
-    let held = HolderRec {
+    let held = HolderRecord {
         holder: "c0".into(),
         incarnation: Revision(1),
         term: Term(7),
@@ -96,7 +96,7 @@
     assert_eq!(try_grants(&m, 1, &|_| true), None);
     m.leader = Some((
         Revision(6),
-        LeaderRec {
+        LeaderRecord {
             holder: "c1".into(),
             incarnation: Revision(2),
         },
@@ -107,7 +107,7 @@
 #[test]
 fn who_handed_a_block_back_does_not_get_it_again_while_others_are_in() {
     let mut m = mirror(&[("c0", 1), ("c1", 2)]);
-    let back = HolderRec {
+    let back = HolderRecord {
         holder: "c1".into(),
         incarnation: Revision(0),
         term: Term(7),
--- a/src/blocks/member.rs
+++ b/src/blocks/member.rs
@@ -1,6 +1,6 @@
 //! This controller's own membership: its lease, and how long it may act.
 
-use super::MemberRec;
+use super::MemberRecord;
 use crate::clock::Micros;
 use crate::ids::{Label, LeaseId, Revision};
 use crate::store::{self, Reply, Request, cond, keys};
@@ -63,7 +63,7 @@
             },
             State::Leasing => Request::NewLease { life: self.lease },
             State::Registering { lease_id, .. } => {
-                let rec = MemberRec {
+                let rec = MemberRecord {
                     addr: self.addr.clone(),
                     lease_id: *lease_id,
                 };
@@ -89,7 +89,7 @@
             // The process that registered this is dead, since it was us: nobody
             // needs to wait for its lease.
             (State::Start, Reply::Found(row)) => {
-                match serde_json::from_value::<MemberRec>(row.value.clone()) {
+                match serde_json::from_value::<MemberRecord>(row.value.clone()) {
                     Ok(rec) => State::Ending(rec.lease_id),
                     Err(_) => State::Leasing,
                 }
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -11,21 +11,21 @@
 
 /// The last term given out; every grant takes the next.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct TermRec {
+pub struct TermRecord {
     pub last: Term,
 }
 
 /// A controller that takes part, attached to its own lease. The key is written
 /// once per incarnation, so its revision names the incarnation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MemberRec {
+pub struct MemberRecord {
     pub addr: String,
     #[serde(rename = "tenure")]
     pub lease_id: LeaseId,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LeaderRec {
+pub struct LeaderRecord {
     pub holder: Label,
     /// Of the holder, by its member key's revision: names given out under one
     /// leadership are never used by the next, even of the same controller.
@@ -34,7 +34,7 @@
 
 /// Who holds a block. Valid while that incarnation's member lease lives.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HolderRec {
+pub struct HolderRecord {
     pub holder: Label,
     /// Revision 0: handed back, nobody holds it.
     pub incarnation: Revision,
@@ -51,7 +51,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRec {
+pub struct MachineRecord {
     /// Learnt from its reports, and recorded when it is first used.
     #[serde(rename = "a", default, skip_serializing_if = "String::is_empty")]
     pub addr: String,
@@ -72,7 +72,7 @@
     pub freed: Option<Freed>,
 }
 
-impl MachineRec {
+impl MachineRecord {
     /// About how long the record is as JSON, its name and later marks included.
     fn size(&self) -> usize {
         self.build.len() + self.zone.len() + 100
@@ -80,7 +80,7 @@
 
     /// A machine that nothing was launched on yet.
     pub fn blank(addr: String, build: &str, zone: &str, spot: bool) -> Self {
-        MachineRec {
+        MachineRecord {
             addr,
             build: build.into(),
             zone: zone.into(),
@@ -94,18 +94,18 @@
 
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct MachinesRec(pub BTreeMap<MachineId, MachineRec>);
+pub struct MachinesRecord(pub BTreeMap<MachineId, MachineRecord>);
 
 /// Larger shards cost every watcher more at each change than they save.
 const SHARD_BYTES: usize = 8 * 1024;
 
-impl MachinesRec {
+impl MachinesRecord {
     pub fn size(&self) -> usize {
-        self.0.values().map(MachineRec::size).sum()
+        self.0.values().map(MachineRecord::size).sum()
     }
 
     /// Whether one more fits without coming near what a value may hold.
-    pub fn has_room(&self, rec: &MachineRec, value_bytes: usize) -> bool {
+    pub fn has_room(&self, rec: &MachineRecord, value_bytes: usize) -> bool {
         self.0.is_empty() || self.size() + rec.size() <= SHARD_BYTES.min(value_bytes / 2)
     }
 }
@@ -113,7 +113,7 @@
 /// A rental that was decided, recorded before the cloud is asked: a successor
 /// repeats it under the same name instead of renting again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HireRec {
+pub struct RentalRecord {
     pub build: String,
     pub zone: String,
     pub spot: bool,
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -4,17 +4,17 @@
 
 mod leading;
 
-use crate::api::desk::{self, Desk, Found};
+use crate::api::read_index::{self, Found, ReadIndex};
 use crate::blocks::holder::{self, Holder};
 use crate::blocks::lease::Lease;
 use crate::blocks::member::Member;
-use crate::blocks::{LeaderRec, leader};
+use crate::blocks::{LeaderRecord, leader};
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest, MachineType};
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
-use crate::mesh::{BlockNews, Message, News};
+use crate::mesh::{BlockState, Message, PeerState};
 use crate::placement::Need;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -27,7 +27,7 @@
 
 /// Who asked the store, as the answer comes back.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Tag {
+pub enum StoreOperation {
     Member,
     LeaderLease,
     Candidacy,
@@ -39,8 +39,8 @@
     Holder(BlockId, Term, holder::Write),
     Ended(JobId),
     /// A job that a holder does not know, but a machine of its block shows.
-    Stranger(BlockId, Term, JobId),
-    Litter,
+    UnknownJob(BlockId, Term, JobId),
+    GarbageCollection,
     Manager(Revision, manager::Write),
 }
 
@@ -58,7 +58,7 @@
         sent: Micros,
     },
     Stored {
-        tag: Tag,
+        tag: StoreOperation,
         reply: Reply,
     },
     CheckIn {
@@ -110,7 +110,7 @@
 #[derive(Debug, PartialEq)]
 pub enum Effect {
     Store {
-        tag: Tag,
+        tag: StoreOperation,
         request: Request,
         urgency: Urgency,
     },
@@ -159,9 +159,9 @@
     leading_lease: Lease,
     manager: Manager,
     held: BTreeMap<BlockId, Holder>,
-    desk: Desk,
+    read_index: ReadIndex,
     types: Option<Types>,
-    peers: BTreeMap<Label, (Micros, News)>,
+    peers: BTreeMap<Label, (Micros, PeerState)>,
     joined: BTreeMap<Label, (Revision, Micros)>,
     /// Cancelled at revisions that our reading has not reached.
     cancelled: BTreeSet<(Revision, JobId)>,
@@ -170,23 +170,23 @@
     leading_since: Option<Micros>,
     out: BTreeMap<&'static str, Micros>,
     started: Micros,
-    deaf_until: Micros,
-    last_news: Micros,
+    partitioned_until: Micros,
+    last_told: Micros,
     last_sums: Micros,
     last_types: Micros,
     last_resign: Micros,
     last_publish: Micros,
-    last_litter: Micros,
-    fleet: Res,
+    last_collection: Micros,
+    fleet: Resources,
     view: Arc<View>,
     needs: BTreeMap<BlockId, Vec<Need>>,
 }
 
 const LEADER_LEASE: Micros = Micros::from_millis(6_000);
-const NEWS_EVERY: Micros = Micros::from_millis(700);
+const TELL_EVERY: Micros = Micros::from_millis(700);
 const SUMS_EVERY: Micros = Micros::from_millis(10_000);
 const PUBLISH_EVERY: Micros = Micros::from_millis(250);
-const LITTER_EVERY: Micros = Micros::from_millis(3_000);
+const COLLECT_EVERY: Micros = Micros::from_millis(3_000);
 /// Without a reading of the store for so long, questions are refused at once.
 const STALE: Micros = Micros::from_millis(3_000);
 const SILENT_PEER: Micros = Micros::from_millis(5_000);
@@ -213,7 +213,7 @@
             read: Micros::ZERO,
             member,
             held: BTreeMap::new(),
-            desk: Desk::default(),
+            read_index: ReadIndex::default(),
             types: None,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
@@ -222,14 +222,14 @@
             leading_since: None,
             out: BTreeMap::new(),
             started: now,
-            deaf_until: Micros::ZERO,
-            last_news: Micros::ZERO,
+            partitioned_until: Micros::ZERO,
+            last_told: Micros::ZERO,
             last_sums: now,
             last_types: Micros::ZERO,
             last_resign: Micros::ZERO,
             last_publish: Micros::ZERO,
-            last_litter: Micros::ZERO,
-            fleet: Res::default(),
+            last_collection: Micros::ZERO,
+            fleet: Resources::default(),
             view: Arc::default(),
             needs: BTreeMap::new(),
         }
@@ -259,8 +259,8 @@
                     }
                 }
                 self.stop_cancelled();
-                let asked = self.desk.reading(sent, &self.mirror);
-                out.extend(asked.into_iter().map(desk_effect));
+                let asked = self.read_index.reading(sent, &self.mirror);
+                out.extend(asked.into_iter().map(read_index_effect));
             }
             Input::Changes { log, ledger, sent } => self.changes(now, log, ledger, sent, &mut out),
             Input::Stored { tag, reply } => self.stored(now, tag, &reply, &mut out),
@@ -271,8 +271,8 @@
             Input::Ask { id, ticket } => {
                 // Without a reading of late there is none to wait for.
                 let hopeful = self.mirror.loaded && now.since(self.read) < STALE;
-                let asked = self.desk.ask(now, id, ticket, hopeful);
-                out.extend(asked.map(desk_effect));
+                let asked = self.read_index.ask(now, id, ticket, hopeful);
+                out.extend(asked.map(read_index_effect));
             }
             Input::DirectAnswer {
                 block,
@@ -301,7 +301,7 @@
     /// Takes a peer's message in.
     pub fn hear(&mut self, now: Micros, message: Message) {
         match message {
-            Message::News(news) => {
+            Message::PeerState(news) => {
                 self.peers.insert(news.from.clone(), (now, news));
             }
             Message::Cancelled { job, revision } => self.cancelled(job, revision),
@@ -403,8 +403,8 @@
             }
         }
         self.seen = Revision(ledger.max(self.seen.0));
-        let asked = self.desk.reading(sent, &self.mirror);
-        out.extend(asked.into_iter().map(desk_effect));
+        let asked = self.read_index.reading(sent, &self.mirror);
+        out.extend(asked.into_iter().map(read_index_effect));
         if quiet {
             return;
         }
@@ -450,7 +450,7 @@
             tracing::info!("leading");
         }
         self.leading_since = leading.then(|| self.leading_since.unwrap_or(now));
-        let ours = |rec: &crate::blocks::HolderRec| {
+        let ours = |rec: &crate::blocks::HolderRecord| {
             rec.holder == self.settings.label && Some(rec.incarnation) == self.member.incarnation()
         };
         let mirror = &self.mirror;
@@ -473,7 +473,7 @@
                     self.held.insert(*b, h);
                 }
             }
-            let mut fleet = Res::default();
+            let mut fleet = Resources::default();
             for (_, _, m) in self.mirror.all_machines() {
                 if let Some(t) = types.iter().find(|t| t.name == m.build) {
                     fleet += t.capacity();
@@ -535,7 +535,7 @@
     /// Whether a member shows signs of life and hears its workers.
     fn fit(&self, now: Micros, label: &Label) -> bool {
         if *label == self.settings.label {
-            return now >= self.deaf_until;
+            return now >= self.partitioned_until;
         }
         let joined = self.joined.get(label).map_or(Micros::ZERO, |(_, at)| *at);
         match self.peers.get(label) {
@@ -547,7 +547,7 @@
     }
 
     /// Others are members, but none of them is heard: we may be cut off.
-    fn lonely(&self, now: Micros) -> bool {
+    fn isolated(&self, now: Micros) -> bool {
         let mut others = self
             .mirror
             .members
@@ -580,7 +580,7 @@
     fn tick(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
         if let Some(request) = self.member.step(now) {
             out.push(Effect::Store {
-                tag: Tag::Member,
+                tag: StoreOperation::Member,
                 request,
                 urgency: Urgency::Vital,
             });
@@ -588,7 +588,12 @@
         if now.since(self.last_publish) >= PUBLISH_EVERY {
             self.publish(now, out);
         }
-        out.extend(self.desk.expire(now).into_iter().map(desk_effect));
+        out.extend(
+            self.read_index
+                .expire(now)
+                .into_iter()
+                .map(read_index_effect),
+        );
         if self.mirror.loaded && self.types.is_none() && self.claim(now, "types") {
             out.push(Effect::Cloud(CloudRequest::Types));
         }
@@ -603,8 +608,8 @@
     }
 
     /// Machines that were compared with a class of work so far: what passes cost.
-    pub fn looked_at(&self) -> usize {
-        self.held.values().map(|h| h.looked_at).sum()
+    pub fn machines_compared(&self) -> usize {
+        self.held.values().map(|h| h.machines_compared).sum()
     }
 
     fn leading(&self) -> Option<store::Cond> {
@@ -615,9 +620,9 @@
         )
     }
 
-    fn stored(&mut self, now: Micros, tag: Tag, reply: &Reply, out: &mut Vec<Effect>) {
+    fn stored(&mut self, now: Micros, tag: StoreOperation, reply: &Reply, out: &mut Vec<Effect>) {
         match tag {
-            Tag::Member => {
+            StoreOperation::Member => {
                 let before = self.member.incarnation();
                 self.member.reply(now, reply);
                 if self.member.incarnation() != before {
@@ -625,14 +630,14 @@
                     self.changed(now, out);
                 }
             }
-            Tag::LeaderLease => self.leading_lease.reply(now, reply),
-            Tag::Candidacy => {
+            StoreOperation::LeaderLease => self.leading_lease.reply(now, reply),
+            StoreOperation::Candidacy => {
                 self.out.remove("candidacy");
             }
-            Tag::StepDown => {
+            StoreOperation::StepDown => {
                 self.out.remove("step_down");
             }
-            Tag::Grants => {
+            StoreOperation::Grants => {
                 // Until the mirror shows them, the same grants would be tried again.
                 if !matches!(reply, Reply::Committed(_)) {
                     self.out.remove("grants");
@@ -641,36 +646,36 @@
                         .insert("grants", (now + Micros::from_millis(600)).since(OUT_FOR));
                 }
             }
-            Tag::Types => {
+            StoreOperation::Types => {
                 self.out.remove("types");
             }
-            Tag::Resign(b, term) => {
+            StoreOperation::Resign(b, term) => {
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.resigned(reply);
                 }
             }
-            Tag::Sums | Tag::Litter => {}
-            Tag::Ended(id) => {
-                let asked = self.desk.ended(id, reply);
-                out.extend(asked.into_iter().map(desk_effect));
+            StoreOperation::Sums | StoreOperation::GarbageCollection => {}
+            StoreOperation::Ended(id) => {
+                let asked = self.read_index.ended(id, reply);
+                out.extend(asked.into_iter().map(read_index_effect));
             }
-            Tag::Stranger(b, term, id) => {
+            StoreOperation::UnknownJob(b, term, id) => {
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.read_ended(now, &id, reply);
                 }
             }
-            Tag::Holder(b, term, write) => {
+            StoreOperation::Holder(b, term, write) => {
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.stored(now, write, reply);
                 }
             }
-            Tag::Manager(reign, write) => {
-                // An earlier reign's answers mean nothing to this one.
+            StoreOperation::Manager(leader_revision, write) => {
+                // An earlier leadership's answers mean nothing to this one.
                 if self
                     .mirror
                     .leader
                     .as_ref()
-                    .is_some_and(|(s, _)| *s == reign)
+                    .is_some_and(|(s, _)| *s == leader_revision)
                 {
                     self.manager.stored(now, write, reply);
                 }
@@ -709,7 +714,7 @@
                 ops,
             };
             out.push(Effect::Store {
-                tag: Tag::Types,
+                tag: StoreOperation::Types,
                 request,
                 urgency: Urgency::Prompt,
             });
@@ -719,7 +724,7 @@
     }
 }
 
-fn vital(tag: Tag, conds: Vec<store::Cond>, ops: Vec<store::Op>) -> Effect {
+fn vital(tag: StoreOperation, conds: Vec<store::Cond>, ops: Vec<store::Op>) -> Effect {
     Effect::Store {
         tag,
         request: Request::Txn { conds, ops },
@@ -727,7 +732,7 @@
     }
 }
 
-fn read_ended(tag: Tag, id: &JobId) -> Effect {
+fn read_ended(tag: StoreOperation, id: &JobId) -> Effect {
     Effect::Store {
         tag,
         request: Request::Get {
@@ -737,10 +742,10 @@
     }
 }
 
-fn desk_effect(e: desk::Effect) -> Effect {
+fn read_index_effect(e: read_index::Effect) -> Effect {
     match e {
-        desk::Effect::Found(ticket, found) => Effect::Found { ticket, found },
-        desk::Effect::ReadEnded(id) => read_ended(Tag::Ended(id.clone()), &id),
+        read_index::Effect::Found(ticket, found) => Effect::Found { ticket, found },
+        read_index::Effect::ReadEnded(id) => read_ended(StoreOperation::Ended(id.clone()), &id),
     }
 }
 
@@ -754,14 +759,16 @@
             direct,
             until,
         },
-        holder::Effect::ReadEnded(id) => read_ended(Tag::Stranger(block, term, id.clone()), &id),
+        holder::Effect::ReadEnded(id) => {
+            read_ended(StoreOperation::UnknownJob(block, term, id.clone()), &id)
+        }
         holder::Effect::Txn(write, conds, ops) => Effect::Store {
             // Where changes are short, progress waits for all the others.
             urgency: match write {
                 holder::Write::Progress { .. } => Urgency::Spare,
                 _ => Urgency::Prompt,
             },
-            tag: Tag::Holder(block, term, write),
+            tag: StoreOperation::Holder(block, term, write),
             request: Request::Txn { conds, ops },
         },
     }
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -5,31 +5,31 @@
 impl Core {
     /// The leader clears what ended jobs left behind, a little at a time.
     pub(super) fn tidy(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        if now.since(self.last_litter) < LITTER_EVERY {
+        if now.since(self.last_collection) < COLLECT_EVERY {
             return;
         }
-        self.last_litter = now;
+        self.last_collection = now;
         let Some(leader) = self.leading() else {
             return;
         };
         let most = (self.settings.most_changes() / 2).min(8);
-        let litter = self.mirror.litter(most);
-        if litter.is_empty() {
+        let garbage = self.mirror.garbage(most);
+        if garbage.is_empty() {
             return;
         }
         // Ids of ended jobs never come back, so these pages are nobody's.
         let mut conds = vec![leader];
         conds.extend(
-            litter
+            garbage
                 .iter()
                 .map(|(id, _)| cond(keys::job(id), Revision(0))),
         );
-        let ops = litter
+        let ops = garbage
             .iter()
             .map(|(id, page)| store::delete(keys::page(id, *page)))
             .collect();
         out.push(Effect::Store {
-            tag: Tag::Litter,
+            tag: StoreOperation::GarbageCollection,
             request: Request::Txn { conds, ops },
             urgency: Urgency::Spare,
         });
@@ -45,7 +45,7 @@
             && let Some(request) = self.leading_lease.step(now)
         {
             out.push(Effect::Store {
-                tag: Tag::LeaderLease,
+                tag: StoreOperation::LeaderLease,
                 request,
                 urgency: Urgency::Vital,
             });
@@ -54,14 +54,14 @@
             let Some(lease_id) = self.leading_lease.alive(now) else {
                 return;
             };
-            let standing = if now < self.deaf_until {
-                leader::Standing::Lonely
-            } else if !self.lonely(now) {
+            let standing = if now < self.partitioned_until {
+                leader::Standing::Isolated
+            } else if !self.isolated(now) {
                 leader::Standing::Heard
             } else if self.held.is_empty() {
-                leader::Standing::Lonely
+                leader::Standing::Isolated
             } else {
-                leader::Standing::LonelyHolder
+                leader::Standing::IsolatedHolder
             };
             if leader::candidacy(&self.mirror, &label, incarnation, since, now, standing)
                 && self.claim(now, "candidacy")
@@ -72,13 +72,13 @@
                 ];
                 let ops = vec![store::set_leased(
                     keys::LEADER.into(),
-                    &LeaderRec {
+                    &LeaderRecord {
                         holder: label.clone(),
                         incarnation,
                     },
                     lease_id,
                 )];
-                out.push(vital(Tag::Candidacy, conds, ops));
+                out.push(vital(StoreOperation::Candidacy, conds, ops));
             }
             return;
         }
@@ -94,7 +94,7 @@
             // Our earlier incarnation led; that process is dead, since it was us.
             let conds = vec![cond(keys::LEADER.into(), revision)];
             out.push(vital(
-                Tag::StepDown,
+                StoreOperation::StepDown,
                 conds,
                 vec![store::delete(keys::LEADER.into())],
             ));
@@ -103,11 +103,11 @@
         let Some(leader_cond) = self.leading() else {
             return;
         };
-        if self.lonely(now) && self.claim(now, "step_down") {
+        if self.isolated(now) && self.claim(now, "step_down") {
             // Behind a cut a leader still reaches the store, but not those it leads.
             tracing::info!("no other member is heard: stepping down");
             out.push(vital(
-                Tag::StepDown,
+                StoreOperation::StepDown,
                 vec![leader_cond],
                 vec![store::delete(keys::LEADER.into())],
             ));
@@ -133,7 +133,7 @@
             if let Some((conds, ops)) = grants
                 && self.claim(now, "grants")
             {
-                out.push(vital(Tag::Grants, conds, ops));
+                out.push(vital(StoreOperation::Grants, conds, ops));
             }
         }
         if let Some(types) = self.types.clone() {
@@ -143,8 +143,8 @@
                 self.last_types = now;
                 out.push(Effect::Cloud(CloudRequest::Types));
             }
-            let news = self.all_news(now);
-            let reign = self.mirror.leader.as_ref().map_or(Revision(0), |(s, _)| *s);
+            let news = self.all_block_states(now);
+            let leader_revision = self.mirror.leader.as_ref().map_or(Revision(0), |(s, _)| *s);
             for e in self
                 .manager
                 .step(now, &self.mirror, &leader_cond, self.seen, &types, &news)
@@ -152,7 +152,7 @@
                 out.push(match e {
                     manager::Effect::Cloud(request) => Effect::Cloud(request),
                     manager::Effect::Txn(write, conds, ops) => Effect::Store {
-                        tag: Tag::Manager(reign, write),
+                        tag: StoreOperation::Manager(leader_revision, write),
                         request: Request::Txn { conds, ops },
                         urgency: Urgency::Prompt,
                     },
@@ -162,15 +162,15 @@
     }
 
     /// The newest word on every block, our own included.
-    fn all_news(&self, now: Micros) -> BTreeMap<BlockId, BlockNews> {
-        let mut all: BTreeMap<BlockId, BlockNews> = BTreeMap::new();
+    fn all_block_states(&self, now: Micros) -> BTreeMap<BlockId, BlockState> {
+        let mut all: BTreeMap<BlockId, BlockState> = BTreeMap::new();
         let theirs = self.peers.values().flat_map(|(at, n)| {
-            n.blocks.iter().map(move |b| BlockNews {
+            n.blocks.iter().map(move |b| BlockState {
                 at: *at,
                 ..b.clone()
             })
         });
-        for n in theirs.chain(self.own_news(now)) {
+        for n in theirs.chain(self.own_block_states(now)) {
             if all
                 .get(&n.block)
                 .is_none_or(|o| (o.term, o.at) < (n.term, n.at))
@@ -181,8 +181,8 @@
         all
     }
 
-    fn own_news(&self, now: Micros) -> Vec<BlockNews> {
-        let news = |h: &Holder| BlockNews {
+    fn own_block_states(&self, now: Micros) -> Vec<BlockState> {
+        let news = |h: &Holder| BlockState {
             at: now,
             block: h.block,
             term: h.term,
@@ -194,30 +194,30 @@
 
     /// Tells the peers, gives up what is idle, and writes the sums.
     pub(super) fn tell(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
-        if now.since(self.last_news) < NEWS_EVERY {
+        if now.since(self.last_told) < TELL_EVERY {
             return;
         }
-        self.last_news = now;
+        self.last_told = now;
         let fleet = self.fleet;
         self.needs = self
             .held
             .iter()
             .map(|(b, h)| (*b, h.needs(now, day, fleet)))
             .collect();
-        let blocks = self.own_news(now);
+        let blocks = self.own_block_states(now);
         for n in blocks.iter().filter(|n| !n.dead.is_empty()) {
             if let Some(h) = self.held.get_mut(&n.block) {
                 h.condemn(&n.dead);
             }
         }
-        out.push(Effect::Mesh(Message::News(News {
+        out.push(Effect::Mesh(Message::PeerState(PeerState {
             from: self.settings.label.clone(),
             incarnation: self.member.incarnation().unwrap_or_default(),
             store_ok: self.store_ok(now),
-            hears_workers: now >= self.deaf_until,
+            hears_workers: now >= self.partitioned_until,
             blocks,
         })));
-        let all = self.all_news(now);
+        let all = self.all_block_states(now);
         let until = self.member.acts_until(self.read);
         for (b, h) in &mut self.held {
             let others: Vec<Need> = all
@@ -240,7 +240,7 @@
             let ops = vec![store::set(keys::sums(&self.settings.label), &sums)];
             let request = Request::Txn { conds: vec![], ops };
             out.push(Effect::Store {
-                tag: Tag::Sums,
+                tag: StoreOperation::Sums,
                 request,
                 urgency: Urgency::Spare,
             });
@@ -253,10 +253,10 @@
         // nor any peer: that others are in, the store says, too.
         let alone = self.mirror.members.len() < 2;
         if !alone && self.held.values().any(|h| h.deaf(now)) {
-            if now >= self.deaf_until {
+            if now >= self.partitioned_until {
                 tracing::info!("none of our machines is heard: handing our blocks back");
             }
-            self.deaf_until = now + Micros::from_millis(30_000);
+            self.partitioned_until = now + Micros::from_millis(30_000);
             if self.claim(now, "hand back") {
                 self.hand_back(now, |_| true, out);
             }
@@ -285,7 +285,7 @@
         let settled = self
             .held
             .values()
-            .all(|h| !h.rebuilding() && now.since(h.granted) > Micros::from_millis(5_000));
+            .all(|h| !h.recovery() && now.since(h.granted) > Micros::from_millis(5_000));
         if self.held.len() >= least + 2
             && settled
             && now.since(self.last_resign) > Micros::from_millis(10_000)
@@ -301,7 +301,7 @@
     fn hand_back(&mut self, now: Micros, which: impl Fn(&Holder) -> bool, out: &mut Vec<Effect>) {
         for h in self.held.values_mut().filter(|h| which(h)) {
             if let Some((conds, ops)) = h.resign(now) {
-                out.push(vital(Tag::Resign(h.block, h.term), conds, ops));
+                out.push(vital(StoreOperation::Resign(h.block, h.term), conds, ops));
             }
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,7 +5,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::api::{self, desk::Found};
+use crate::api::{self, read_index::Found};
 use crate::clock::{Micros, Steady, time_of_day};
 use crate::fleet::client::Cloud;
 use crate::ids::{JobId, Revision};
@@ -45,7 +45,7 @@
 }
 
 /// A user's question how a job stands.
-pub struct Asked {
+pub struct StatusQuery {
     pub id: JobId,
     pub answer: oneshot::Sender<Found>,
 }
@@ -86,7 +86,7 @@
     ));
     let (inputs, inbox) = mpsc::channel::<Input>(1024);
     let (reports, arrivals) = mpsc::channel::<Arrived>(1024);
-    let (asks, asking) = mpsc::channel::<Asked>(1024);
+    let (asks, asking) = mpsc::channel::<StatusQuery>(1024);
     let (questions, asked) = mpsc::channel::<Question>(256);
     let (cancels, cancelled) = mpsc::channel::<Cancelled>(256);
     let (view_out, view) = watch::channel(Arc::new(View::default()));
@@ -233,7 +233,7 @@
         mut self,
         mut inbox: mpsc::Receiver<Input>,
         mut arrivals: mpsc::Receiver<Arrived>,
-        mut asking: mpsc::Receiver<Asked>,
+        mut asking: mpsc::Receiver<StatusQuery>,
     ) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -4,7 +4,7 @@
 
 use super::started;
 use super::world::{World, secs};
-use crate::api::desk::Found;
+use crate::api::read_index::Found;
 use crate::controller::core::Answer;
 use crate::ids::FencingToken;
 use crate::jobs::Standing;
@@ -70,7 +70,7 @@
     let lease_s = w.nodes[0].settings.platform.workers.lease_s;
     // Its session ends and the next one begins; no task may be on both machines.
     w.pass(lease_s + 15.0);
-    assert_eq!(w.workers[mute].shift, 2);
+    assert_eq!(w.workers[mute].session, 2);
     w.cancel("j-2");
     w.pass(2.0 * lease_s);
     assert_eq!(w.running("j-1/0").len(), 1);
@@ -100,8 +100,8 @@
     w.workers[with].cut = true;
     w.cloud_down = true;
     let mut copy = w.workers[with].report();
-    copy.tally = 1;
-    copy.hands.clear();
+    copy.sequence = 1;
+    copy.tasks.clear();
     for _ in 0..20 {
         w.pass(2.0);
         w.late_copy(holder, &copy);
@@ -143,7 +143,7 @@
             "the token at most"
         );
         // Not even one that has seen a lower term of the new holder's own.
-        copy.baton = FencingToken(copy.baton.0 + 1);
+        copy.token = FencingToken(copy.token.0 + 1);
         w.late_copy(holder, &copy);
     }
     w.workers[1 - at].cut = false;
@@ -225,8 +225,8 @@
     w.submit(&desc("j-1", 4));
     w.pass(3.0);
     let attempts = |w: &World| -> Vec<u64> {
-        let hands = w.workers.iter().flat_map(|m| m.hands.values());
-        hands.map(|h| h.0).collect()
+        let tasks = w.workers.iter().flat_map(|m| m.tasks.values());
+        tasks.map(|h| h.0).collect()
     };
     let first = attempts(&w);
     w.hold_job_txns = true;
@@ -266,7 +266,7 @@
 fn with_a_task_after_a_long_life() -> (World, usize) {
     let mut w = started(1, 2);
     for m in &mut w.workers {
-        m.tally += 1_000;
+        m.sequence += 1_000;
     }
     w.submit(&desc("j-1", 1));
     w.pass(3.0);
@@ -336,7 +336,7 @@
     }
     w.pass(3.0);
     assert_eq!(w.ended("j-1"), Some(Standing::Done));
-    assert!(w.workers[0].hands.is_empty(), "reaped");
+    assert!(w.workers[0].tasks.is_empty(), "reaped");
 }
 
 #[test]
--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -4,7 +4,7 @@
 use super::fleet::two_blocks;
 use super::started;
 use super::world::{Node, World, secs};
-use crate::blocks::MachinesRec;
+use crate::blocks::MachinesRecord;
 use crate::controller::core::{Answer, Input};
 use crate::ids::{MachineId, Revision};
 use crate::jobs::Standing;
@@ -104,7 +104,7 @@
     let copies = [w.workers[0].report(), w.workers[1].report()];
     w.finish_all();
     w.pass(4.0);
-    let before: Vec<u64> = w.workers.iter().map(|m| m.baton.0).collect();
+    let before: Vec<u64> = w.workers.iter().map(|m| m.token.0).collect();
     // Away: what was submitted and cancelled meanwhile comes with the reading.
     w.submit(&desc("j-7", 1));
     w.pass(2.0);
@@ -130,11 +130,14 @@
     );
     assert!(w.running("j-7/0").is_empty());
     assert_eq!(w.all_running(), 2);
-    let after: Vec<u64> = w.workers.iter().map(|m| m.baton.0).collect();
+    let after: Vec<u64> = w.workers.iter().map(|m| m.token.0).collect();
     assert!(before.iter().zip(&after).all(|(b, a)| b <= a));
     let lease_s = w.nodes[0].settings.platform.workers.lease_s;
     w.pass(lease_s + 5.0);
-    assert!(w.workers.iter().all(|m| m.shift == 1), "answered all along");
+    assert!(
+        w.workers.iter().all(|m| m.session == 1),
+        "answered all along"
+    );
 }
 
 /// A hand-back without an answer, and a watch that hangs: another holds the block, and
@@ -192,7 +195,7 @@
         .iter()
         .filter(|(k, _)| k.contains("/machines/"));
     for (key, (_, value, _)) in shards {
-        let rec: MachinesRec = serde_json::from_value(value.clone()).expect("a shard");
+        let rec: MachinesRecord = serde_json::from_value(value.clone()).expect("a shard");
         for id in rec.0.keys() {
             at.entry(id.clone()).or_default().push(key.clone());
         }
@@ -257,8 +260,8 @@
     w.crash(before);
     w.cancel("j-1");
     // It hears the new token, and nothing after that.
-    let first = w.workers[at].baton;
-    while w.workers[at].baton == first {
+    let first = w.workers[at].token;
+    while w.workers[at].token == first {
         w.pass(0.1);
     }
     w.workers[at].deaf = true;
@@ -295,8 +298,8 @@
         .as_object_mut()
         .expect("an object")
         .remove("footprint");
-    let first = w.workers[at].baton;
-    while w.workers[at].baton == first {
+    let first = w.workers[at].token;
+    while w.workers[at].token == first {
         w.pass(0.1);
     }
     w.workers[at].deaf = true;
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -32,14 +32,14 @@
     w.finish_all();
     w.pass(3.0);
     assert_eq!(
-        w.workers[0].hands.len(),
+        w.workers[0].tasks.len(),
         3,
         "not reaped before its end is stored"
     );
     w.hold_job_txns = false;
     w.pass(6.0);
     assert_eq!(w.ended("j-1"), Some(Standing::Done));
-    assert!(w.workers[0].hands.is_empty(), "reaped");
+    assert!(w.workers[0].tasks.is_empty(), "reaped");
 }
 
 #[test]
@@ -315,7 +315,7 @@
         let mine = |h: &&String| h.starts_with(job);
         w.workers
             .iter()
-            .map(|m| m.hands.keys().filter(mine).count())
+            .map(|m| m.tasks.keys().filter(mine).count())
             .sum::<usize>()
     };
     assert_eq!(of(&w, "j-1/"), 8, "16 cores for tasks of 2");
@@ -332,7 +332,7 @@
         for h in w
             .workers
             .iter_mut()
-            .flat_map(|m| m.hands.values_mut())
+            .flat_map(|m| m.tasks.values_mut())
             .filter(|h| h.1 == "running")
         {
             *h = (h.0, "exited".into(), Some("error".into()));
@@ -450,13 +450,13 @@
     let mut w = started(2, 1);
     w.submit(&desc("j-1", 1));
     w.pass(3.0);
-    let first = w.workers[0].hands["j-1/0"].0;
+    let first = w.workers[0].tasks["j-1/0"].0;
     w.crash(w.holder());
     w.pass(25.0);
     w.finish_all();
     w.submit(&desc("j-2", 1));
     w.pass(4.0);
-    let second = w.workers[0].hands["j-2/0"].0;
+    let second = w.workers[0].tasks["j-2/0"].0;
     assert!(AttemptId(second) > AttemptId(first));
 }
 
--- a/src/controller/tests/pairs.rs
+++ b/src/controller/tests/pairs.rs
@@ -6,7 +6,7 @@
 //! named test.
 
 use super::world::{World, secs};
-use crate::api::desk::Found;
+use crate::api::read_index::Found;
 use crate::clock::Micros;
 use crate::controller::core::Input;
 use crate::ids::{JobId, Revision};
--- a/src/controller/tests/size.rs
+++ b/src/controller/tests/size.rs
@@ -85,7 +85,7 @@
         w.pass(1.0);
     }
     let ended = |h: &&(u64, String, Option<String>)| h.1 == "exited";
-    let left = w.workers[0].hands.values().filter(ended).count();
+    let left = w.workers[0].tasks.values().filter(ended).count();
     let all = (rounds * pages) as usize;
     assert!(left <= all / 3, "{left} of {all} are still reported");
 }
@@ -137,9 +137,9 @@
         (late.team, late.rank, late.due_s) = ("guests".into(), rank, None);
         w.submit(&late);
         w.pass(15.0);
-        let before = w.looked_at();
+        let before = w.machines_compared();
         w.pass(5.0);
-        w.looked_at() - before
+        w.machines_compared() - before
     };
     let (idle, production) = (spent(Rank::Idle), spent(Rank::Production));
     assert!(idle < production, "{idle} and {production}");
@@ -147,7 +147,7 @@
 
 #[test]
 fn check_ins_cost_nothing_more_where_nothing_waits_or_nothing_fits() {
-    let looked_at = |machines: usize, backlog: u32| {
+    let machines_compared = |machines: usize, backlog: u32| {
         let mut w = World::with(1, machines, |v: &mut Value| {
             for team in v["settings"]["teams"].as_array_mut().expect("teams") {
                 team["cpus_max"] = 100_000.0.into();
@@ -161,13 +161,13 @@
             w.submit(&desc(&format!("j-{}", 100 + i), 4));
         }
         w.pass(2.0);
-        let before = w.looked_at();
+        let before = w.machines_compared();
         w.pass(4.0);
         let passes = secs(4.0).0 / 500_000;
-        (w.looked_at() - before) / passes as usize
+        (w.machines_compared() - before) / passes as usize
     };
     // A class is compared with the most room of each kind of machine, and what does
     // not fit there is not compared with machines; the head job looks for one to hold.
-    assert!(looked_at(40, 10) <= 45);
-    assert!(looked_at(40, 100) <= 45, "not with the backlog");
+    assert!(machines_compared(40, 10) <= 45);
+    assert!(machines_compared(40, 100) <= 45, "not with the backlog");
 }
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -1,12 +1,12 @@
 //! A scripted store, cloud and workers around the cores, under a fake clock.
 
-use super::super::core::{Answer, Core, DirectAnswer, Effect, Input, Tag, View};
-use crate::api::desk::Found;
+use super::super::core::{Answer, Core, DirectAnswer, Effect, Input, StoreOperation, View};
+use crate::api::read_index::Found;
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed};
 use crate::ids::{BlockId, FencingToken, JobId, Label, LeaseId, MachineId, Revision, TaskId};
 use crate::jobs::tests::types;
-use crate::jobs::{EndedRec, JobDesc, JobRec, Standing};
+use crate::jobs::{EndedRecord, JobDesc, JobRecord, Standing};
 use crate::policy::tests::standard;
 use crate::settings::Settings;
 use crate::settings::tests::example;
@@ -185,10 +185,10 @@
     pub id: MachineId,
     pub build: &'static str,
     pub zone: &'static str,
-    pub shift: u64,
-    pub tally: u64,
-    pub baton: FencingToken,
-    pub hands: BTreeMap<String, (u64, String, Option<String>)>,
+    pub session: u64,
+    pub sequence: u64,
+    pub token: FencingToken,
+    pub tasks: BTreeMap<String, (u64, String, Option<String>)>,
     pub node: Option<usize>,
     pub cut: bool,
     /// Its reports arrive, but answers and commands don't reach it.
@@ -213,10 +213,10 @@
             id: MachineId::from(format!("m-{n:06}")),
             build,
             zone,
-            shift: 1,
-            tally: 0,
-            baton: FencingToken(0),
-            hands: BTreeMap::new(),
+            session: 1,
+            sequence: 0,
+            token: FencingToken(0),
+            tasks: BTreeMap::new(),
             node: None,
             cut: false,
             deaf: false,
@@ -231,38 +231,38 @@
     }
 
     pub fn report(&mut self) -> Report {
-        self.tally += 1;
-        let hands: Vec<Value> = self
-            .hands
+        self.sequence += 1;
+        let tasks: Vec<Value> = self
+            .tasks
             .iter()
             .map(|(h, (n, standing, cause))| json!({"hand": h, "try": n, "standing": standing, "cause": cause}))
             .collect();
         serde_json::from_value(json!({"rig": self.id, "addr": format!("{}:1", self.id), "build": self.build, "yard": self.zone,
-            "loaners": false, "shift": self.shift, "tally": self.tally, "baton": self.baton, "hands": hands}))
+            "loaners": false, "shift": self.session, "tally": self.sequence, "baton": self.token, "hands": tasks}))
         .expect("a report")
     }
 
     pub fn run(&mut self, orders: &[Order]) {
         for o in orders {
             match o {
-                Order::Launch { hand, attempt } => {
+                Order::Launch { task, attempt } => {
                     let new = (attempt.0, "running".into(), None);
-                    if let Entry::Vacant(free) = self.hands.entry(hand.clone()) {
+                    if let Entry::Vacant(free) = self.tasks.entry(task.clone()) {
                         free.insert(new);
-                        self.launched.push((hand.clone(), attempt.0));
+                        self.launched.push((task.clone(), attempt.0));
                     }
                 }
-                Order::Halt { hand, attempt, .. } => {
+                Order::Halt { task, attempt, .. } => {
                     if let Some(h) = self
-                        .hands
-                        .get_mut(hand)
+                        .tasks
+                        .get_mut(task)
                         .filter(|h| h.0 == attempt.0 && h.1 == "running")
                     {
                         *h = (h.0, "exited".into(), Some("stopped".into()));
                     }
                 }
-                Order::Reap { hand, .. } => {
-                    self.hands.remove(hand);
+                Order::Reap { task, .. } => {
+                    self.tasks.remove(task);
                 }
             }
         }
@@ -270,14 +270,14 @@
 
     /// Its tasks that run and begin with this.
     pub fn running<'a>(&'a self, begins: &'a str) -> impl Iterator<Item = &'a str> {
-        let runs = self.hands.iter().filter(|(_, h)| h.1 == "running");
-        runs.map(|(hand, _)| hand.as_str())
-            .filter(move |hand| hand.starts_with(begins))
+        let runs = self.tasks.iter().filter(|(_, h)| h.1 == "running");
+        runs.map(|(task, _)| task.as_str())
+            .filter(move |task| task.starts_with(begins))
     }
 
     pub fn direct(&mut self, d: &Direct) -> Report {
-        if d.baton >= self.baton && d.shift == self.shift {
-            self.baton = d.baton;
+        if d.token >= self.token && d.session == self.session {
+            self.token = d.token;
             self.run(&d.orders);
         }
         self.report()
@@ -316,7 +316,7 @@
     pub cloud_down: bool,
     /// The cloud has machines to rent, up after three seconds.
     pub renting: bool,
-    hired: BTreeMap<String, Vec<MachineId>>,
+    rented: BTreeMap<String, Vec<MachineId>>,
     /// When users were told that a job is cancelled.
     pub cancelled: BTreeMap<JobId, Micros>,
     /// Which attempt numbers were launched, and where: they never repeat.
@@ -384,7 +384,7 @@
             returned: vec![],
             cloud_down: false,
             renting: false,
-            hired: BTreeMap::new(),
+            rented: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             attempts: BTreeMap::new(),
             idle_return: secs(10_000.0),
@@ -475,7 +475,7 @@
         told
     }
 
-    pub fn ask(&mut self, i: usize, tag: &Tag, request: Request) -> Reply {
+    pub fn ask(&mut self, i: usize, tag: &StoreOperation, request: Request) -> Reply {
         let n = &self.nodes[i];
         if n.no_store {
             return Reply::Unknown;
@@ -494,7 +494,7 @@
             return Reply::Unknown;
         }
         if self.hold_job_txns
-            && let (Tag::Holder(..), Request::Txn { conds, ops }) = (tag, &request)
+            && let (StoreOperation::Holder(..), Request::Txn { conds, ops }) = (tag, &request)
         {
             self.held_txns.push((conds.clone(), ops.clone()));
             return Reply::Unknown;
@@ -548,19 +548,23 @@
                 )
             }
             CloudRequest::Rent(..) if !self.renting => CloudReply::NoCapacity,
-            CloudRequest::Rent(name, hire) => {
+            CloudRequest::Rent(name, rental) => {
                 let now = self.now;
-                let build = if hire.build == "big" { "big" } else { "small" };
-                let zone = if hire.zone == "y" { "y" } else { "x" };
+                let build = if rental.build == "big" {
+                    "big"
+                } else {
+                    "small"
+                };
+                let zone = if rental.zone == "y" { "y" } else { "x" };
                 let workers = &mut self.workers;
-                let ids = self.hired.entry(name.clone()).or_insert_with(|| {
+                let ids = self.rented.entry(name.clone()).or_insert_with(|| {
                     let new = |n| {
                         let mut w = FakeWorker::new(n, build, zone, now + secs(3.0));
                         w.last_answer = now + secs(3.0);
                         w
                     };
                     let first = workers.len();
-                    let count = hire.count as usize;
+                    let count = rental.count as usize;
                     workers.extend((first..first + count).map(new));
                     workers[first..].iter().map(|w| w.id.clone()).collect()
                 });
@@ -569,7 +573,7 @@
             CloudRequest::Return(ids) => {
                 self.returned.extend(ids.iter().cloned());
                 for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
-                    w.hands.clear();
+                    w.tasks.clear();
                 }
                 CloudReply::Returned
             }
@@ -612,8 +616,8 @@
             return;
         }
         if now.since(w.last_answer) > over {
-            w.shift += 1;
-            w.hands.clear();
+            w.session += 1;
+            w.tasks.clear();
             w.last_answer = now;
         }
         // What waited while it stood still is carried out if it still matches.
@@ -622,10 +626,10 @@
         }
         let Some(time) = time else { return };
         w.began
-            .retain(|h, _| w.hands.get(h).is_some_and(|h| h.1 == "running"));
-        for (hand, state) in w.hands.iter_mut().filter(|(_, s)| s.1 == "running") {
-            let began = *w.began.entry(hand.clone()).or_insert(now);
-            let task = TaskId::parse(hand).expect("a task");
+            .retain(|h, _| w.tasks.get(h).is_some_and(|h| h.1 == "running"));
+        for (task, state) in w.tasks.iter_mut().filter(|(_, s)| s.1 == "running") {
+            let began = *w.began.entry(task.clone()).or_insert(now);
+            let task = TaskId::parse(task).expect("a task");
             let (time, cause) = if mistaken.contains(&task.job) {
                 (secs(1.0), "error")
             } else {
@@ -648,18 +652,18 @@
     /// its task may be where it is.
     fn check_launches(&mut self) {
         for at in 0..self.workers.len() {
-            for (hand, attempt) in std::mem::take(&mut self.workers[at].launched) {
+            for (task, attempt) in std::mem::take(&mut self.workers[at].launched) {
                 let w = &self.workers[at];
-                let here = (hand.clone(), w.id.clone());
+                let here = (task.clone(), w.id.clone());
                 let first = self.attempts.entry(attempt).or_insert_with(|| here.clone());
                 assert_eq!(*first, here, "attempt {attempt} is given twice");
-                let task = TaskId::parse(&hand).expect("a task");
+                let task = TaskId::parse(&task).expect("a task");
                 let Some(d) = self.submitted.get(&task.job) else {
                     continue;
                 };
                 assert!(
                     d.allows(w.build, w.zone, false),
-                    "{hand} on {} in {}",
+                    "{task} on {} in {}",
                     w.build,
                     w.zone
                 );
@@ -670,11 +674,11 @@
                 };
                 if d.one_zone {
                     let other = if w.zone == "x" { "y" } else { "x" };
-                    assert_eq!(in_zone(other), 0, "{hand} in {}: not in one zone", w.zone);
+                    assert_eq!(in_zone(other), 0, "{task} in {}: not in one zone", w.zone);
                 }
                 if d.apart {
                     let most = d.tasks.div_ceil(2) as usize;
-                    assert!(in_zone(w.zone) <= most, "{hand} in {}: not apart", w.zone);
+                    assert!(in_zone(w.zone) <= most, "{task} in {}: not apart", w.zone);
                 }
             }
         }
@@ -697,10 +701,10 @@
         let lease = secs(platform.workers.lease_s);
         let may_go_on = |w: &&FakeWorker| !w.hung || self.now.since(w.last_answer) <= lease;
         for w in self.alive().filter(may_go_on) {
-            for hand in w.running("") {
-                let other = at.insert(hand, &w.id);
-                assert!(other.is_none(), "{hand} runs on {} and {other:?}", w.id);
-                let job = hand.split('/').next().expect("a job").into();
+            for task in w.running("") {
+                let other = at.insert(task, &w.id);
+                assert!(other.is_none(), "{task} runs on {} and {other:?}", w.id);
+                let job = task.split('/').next().expect("a job").into();
                 if let Some(d) = self.submitted.get(&job) {
                     *used.entry(&d.team).or_default() += d.cores;
                 }
@@ -710,7 +714,7 @@
                     let most = platform.workers.cancel_s;
                     assert!(
                         since <= most,
-                        "{hand} on {} is cancelled since {since}",
+                        "{task} on {} is cancelled since {since}",
                         w.id
                     );
                 }
@@ -728,9 +732,9 @@
     pub fn reborn(&mut self, at: usize) {
         let now = self.now;
         let w = &mut self.workers[at];
-        (w.shift, w.tally, w.baton) = (1, 0, FencingToken(0));
+        (w.session, w.sequence, w.token) = (1, 0, FencingToken(0));
         (w.last_answer, w.due) = (now, now);
-        w.hands.clear();
+        w.tasks.clear();
     }
 
     /// A copy of a report reaches a node late: nobody reads the answer.
@@ -750,8 +754,11 @@
     }
 
     /// Machines that were compared with a class of work so far, by the first node.
-    pub fn looked_at(&self) -> usize {
-        self.nodes[0].core.as_ref().map_or(0, Core::looked_at)
+    pub fn machines_compared(&self) -> usize {
+        self.nodes[0]
+            .core
+            .as_ref()
+            .map_or(0, Core::machines_compared)
     }
 
     /// Machines come up that nobody expected.
@@ -764,7 +771,7 @@
     pub fn started_ever(&self, id: &str) -> bool {
         let begins = |h: &String| h.starts_with(&format!("{id}/"));
         self.ended(id) == Some(Standing::Done)
-            || self.workers.iter().any(|w| w.hands.keys().any(begins))
+            || self.workers.iter().any(|w| w.tasks.keys().any(begins))
     }
 
     pub fn sync(&mut self, i: usize) {
@@ -830,12 +837,12 @@
             match self.feed(i, Input::CheckIn { report, ticket: 1 }) {
                 Some(Answer::Orders(o)) => {
                     let w = &mut self.workers[at];
-                    if o.baton > w.baton || !o.orders.is_empty() {
+                    if o.token > w.token || !o.orders.is_empty() {
                         // A change is reported soon.
                         w.due = self.now + secs(0.5);
                     }
-                    if o.baton >= w.baton {
-                        w.baton = o.baton;
+                    if o.token >= w.token {
+                        w.token = o.token;
                         w.last_answer = self.now;
                         w.node = Some(i);
                         w.run(&o.orders);
@@ -861,7 +868,7 @@
             .get(&key)
             .map_or((0, Value::Null), |v| (v.0, v.1.clone()));
         let born = serde_json::from_value(holder.1["term"].clone()).unwrap_or_default();
-        let rec = JobRec {
+        let rec = JobRecord {
             desc: desc.clone(),
             at: self.now,
             born,
@@ -878,7 +885,7 @@
 
     pub fn cancel(&mut self, id: &str) {
         let id = JobId::from(id);
-        let ended = EndedRec {
+        let ended = EndedRecord {
             standing: Standing::Cancelled,
             tasks: 1,
             footprint: self.submitted.get(&id).map(JobDesc::footprint),
@@ -892,14 +899,14 @@
 
     pub fn ended(&self, id: &str) -> Option<Standing> {
         let rec = self.store.keys.get(&keys::ended(&JobId::from(id)))?;
-        serde_json::from_value::<EndedRec>(rec.1.clone())
+        serde_json::from_value::<EndedRecord>(rec.1.clone())
             .ok()
             .map(|e| e.standing)
     }
 
     /// Where a task's attempts run now.
-    pub fn running(&self, hand: &str) -> Vec<usize> {
-        let runs = |w: &FakeWorker| w.hands.get(hand).is_some_and(|h| h.1 == "running");
+    pub fn running(&self, task: &str) -> Vec<usize> {
+        let runs = |w: &FakeWorker| w.tasks.get(task).is_some_and(|h| h.1 == "running");
         (0..self.workers.len())
             .filter(|at| runs(&self.workers[*at]))
             .collect()
@@ -908,14 +915,14 @@
     pub fn all_running(&self) -> usize {
         self.workers
             .iter()
-            .map(|w| w.hands.values().filter(|h| h.1 == "running").count())
+            .map(|w| w.tasks.values().filter(|h| h.1 == "running").count())
             .sum()
     }
 
     /// One task is done, wherever it runs.
-    pub fn finish(&mut self, hand: &str) {
+    pub fn finish(&mut self, task: &str) {
         for m in &mut self.workers {
-            if let Some(h) = m.hands.get_mut(hand) {
+            if let Some(h) = m.tasks.get_mut(task) {
                 (h.1, h.2) = ("exited".into(), Some("done".into()));
             }
         }
@@ -925,7 +932,7 @@
         for h in self
             .workers
             .iter_mut()
-            .flat_map(|w| w.hands.values_mut())
+            .flat_map(|w| w.tasks.values_mut())
             .filter(|h| h.1 == "running")
         {
             h.1 = "exited".into();
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -7,7 +7,7 @@
 
 /// Amounts of each resource: of a task, a machine or the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct Res {
+pub struct Resources {
     pub cores: f64,
     pub cards: f64,
     pub mem: f64,
@@ -16,31 +16,31 @@
 /// Sums of decimal amounts may be off by this much.
 const EPS: f64 = 1e-6;
 
-impl Res {
+impl Resources {
     pub fn new(cores: f64, cards: f64, mem: f64) -> Self {
-        Res { cores, cards, mem }
+        Resources { cores, cards, mem }
     }
 
-    fn zip(self, o: Res, f: impl Fn(f64, f64) -> f64) -> Res {
-        Res::new(
+    fn zip(self, o: Resources, f: impl Fn(f64, f64) -> f64) -> Resources {
+        Resources::new(
             f(self.cores, o.cores),
             f(self.cards, o.cards),
             f(self.mem, o.mem),
         )
     }
 
-    pub fn scale(self, by: f64) -> Res {
-        Res::new(self.cores * by, self.cards * by, self.mem * by)
+    pub fn scale(self, by: f64) -> Resources {
+        Resources::new(self.cores * by, self.cards * by, self.mem * by)
     }
 
-    pub fn fits_in(&self, room: &Res) -> bool {
+    pub fn fits_in(&self, room: &Resources) -> bool {
         self.cores <= room.cores + EPS
             && self.cards <= room.cards + EPS
             && self.mem <= room.mem + EPS
     }
 
     /// How many of these fit side by side.
-    pub fn times_in(&self, room: &Res) -> u32 {
+    pub fn times_in(&self, room: &Resources) -> u32 {
         let n = |need: f64, have: f64| {
             if need <= EPS {
                 f64::INFINITY
@@ -55,75 +55,80 @@
     }
 
     /// The larger amount of each.
-    pub fn most(self, o: Res) -> Res {
+    pub fn most(self, o: Resources) -> Resources {
         self.zip(o, f64::max)
     }
 
     /// The largest share of `whole` that any resource takes.
-    pub fn share_of(&self, whole: &Res) -> f64 {
+    pub fn share_of(&self, whole: &Resources) -> f64 {
         let q = self.zip(*whole, |a, b| if b > 0.0 { a / b } else { 0.0 });
         q.cores.max(q.cards).max(q.mem)
     }
 }
 
-impl AddAssign for Res {
-    fn add_assign(&mut self, o: Res) {
+impl AddAssign for Resources {
+    fn add_assign(&mut self, o: Resources) {
         *self = self.zip(o, |a, b| a + b);
     }
 }
 
-impl SubAssign for Res {
-    fn sub_assign(&mut self, o: Res) {
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, o: Resources) {
         *self = self.zip(o, |a, b| a - b);
     }
 }
 
-impl Sub for Res {
-    type Output = Res;
-    fn sub(self, o: Res) -> Res {
+impl Sub for Resources {
+    type Output = Resources;
+    fn sub(self, o: Resources) -> Resources {
         self.zip(o, |a, b| a - b)
     }
 }
 
 /// Equation 1: a request times its machine's capacity over the machine's
 /// summed requests, for each resource.
-pub fn endowment(request: Res, capacity: Res, summed: Res) -> Res {
+pub fn endowment(request: Resources, capacity: Resources, summed: Resources) -> Resources {
     let ratio = capacity.zip(summed, |c, s| if s > 0.0 { c / s } else { 0.0 });
     request.zip(ratio, |r, q| r * q)
 }
 
 /// Static heaviness `s`: the endowment's share of the fleet, summed over the
 /// resources that the fleet has. It rises strictly with each of them.
-pub fn s(endowed: Res, fleet: Res) -> f64 {
+pub fn s(endowed: Resources, fleet: Resources) -> f64 {
     let share = endowed.zip(fleet, |e, f| if f > 0.0 { e / f } else { 0.0 });
     share.cores + share.cards + share.mem
 }
 
 /// Equation 3 with guarantees for quotas: the fleet's share that is
 /// proportional to a team's guarantee; zero where nothing is guaranteed.
-pub fn actual_quota(guarantee: Res, fleet: Res, guarantees: Res) -> Res {
+pub fn actual_quota(guarantee: Resources, fleet: Resources, guarantees: Resources) -> Resources {
     let ratio = fleet.zip(guarantees, |f, g| if g > 0.0 { f / g } else { 0.0 });
     guarantee.zip(ratio, |g, q| g * q)
 }
 
 /// Equation 4 with `d = 0` and `s' = s`: what each team's tasks on one machine
 /// add to its heaviness, given the team's summed requests there.
-pub fn machine_share(requests: Res, capacity: Res, summed: Res, fleet: Res) -> f64 {
+pub fn machine_share(
+    requests: Resources,
+    capacity: Resources,
+    summed: Resources,
+    fleet: Resources,
+) -> f64 {
     s(endowment(requests, capacity, summed), fleet)
 }
 
 /// What a machine's attempts request, in all and by team.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Load {
-    pub summed: Res,
-    pub teams: Vec<(usize, Res)>,
+    pub summed: Resources,
+    pub teams: Vec<(usize, Resources)>,
     /// Unreported since a take-over, or with attempts of jobs that are not known: it
     /// may hold anything, of any team.
     pub unknown: bool,
 }
 
 impl Load {
-    pub fn take(&mut self, team: usize, request: Res) {
+    pub fn take(&mut self, team: usize, request: Resources) {
         self.summed += request;
         match self.teams.iter_mut().find(|(t, _)| *t == team) {
             Some((_, sum)) => *sum += request,
@@ -136,9 +141,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct TeamSum {
     /// What counts against its limit.
-    pub used: Res,
+    pub used: Resources,
     /// What its running tasks are endowed with.
-    pub endowed: Res,
+    pub endowed: Resources,
 }
 
 /// The sums of a block's teams, kept up to date machine by machine, so that no
@@ -155,15 +160,15 @@
         }
     }
 
-    pub fn add(&mut self, load: &Load, capacity: Res) {
-        self.shift(load, capacity, 1.0);
+    pub fn add(&mut self, load: &Load, capacity: Resources) {
+        self.adjust(load, capacity, 1.0);
     }
 
-    pub fn remove(&mut self, load: &Load, capacity: Res) {
-        self.shift(load, capacity, -1.0);
+    pub fn remove(&mut self, load: &Load, capacity: Resources) {
+        self.adjust(load, capacity, -1.0);
     }
 
-    fn shift(&mut self, load: &Load, capacity: Res, sign: f64) {
+    fn adjust(&mut self, load: &Load, capacity: Resources, sign: f64) {
         if load.unknown {
             // After a take-over, what is on a silent machine counts as the worst
             // case for each team, or its limit and its heaviness would be off.
@@ -187,7 +192,13 @@
     }
 
     /// Equations 2 to 4: the sum over the team's tasks, less its actual quota.
-    pub fn heaviness(&self, team: usize, guarantee: Res, guarantees: Res, fleet: Res) -> f64 {
+    pub fn heaviness(
+        &self,
+        team: usize,
+        guarantee: Resources,
+        guarantees: Resources,
+        fleet: Resources,
+    ) -> f64 {
         s(self.of(team).endowed, fleet) - s(actual_quota(guarantee, fleet, guarantees), fleet)
     }
 }
--- a/src/fairness/tests.rs
+++ b/src/fairness/tests.rs
@@ -2,14 +2,14 @@
 
 #[test]
 fn sums_kept_machine_by_machine_equal_sums_made_anew() {
-    let cap = Res::new(16.0, 0.0, 64.0);
-    let fleet = Res::new(32.0, 0.0, 128.0);
+    let cap = Resources::new(16.0, 0.0, 64.0);
+    let fleet = Resources::new(32.0, 0.0, 128.0);
     let mut load = Load::default();
     let mut kept = Weights::new(&[0, 1]);
     kept.add(&load, cap);
     for (team, cores) in [(0, 2.0), (1, 6.0), (0, 4.0)] {
         kept.remove(&load, cap);
-        load.take(team, Res::new(cores, 0.0, 4.0 * cores));
+        load.take(team, Resources::new(cores, 0.0, 4.0 * cores));
         kept.add(&load, cap);
     }
     let mut anew = Weights::new(&[0, 1]);
@@ -19,7 +19,10 @@
         near(kept.of(t).used.mem, anew.of(t).used.mem);
     }
     // 6 of 12 cores requested: half of the machine, and the quota is half of the fleet.
-    let (g, all) = (Res::new(8.0, 0.0, 0.0), Res::new(16.0, 0.0, 0.0));
+    let (g, all) = (
+        Resources::new(8.0, 0.0, 0.0),
+        Resources::new(16.0, 0.0, 0.0),
+    );
     near(kept.heaviness(0, g, all, fleet), 0.25 + 0.25 - 0.5);
     // A silent machine counts whole against each limit.
     kept.add(
@@ -40,39 +43,42 @@
 fn endowments_share_out_the_whole_machine() {
     // A machine of 16 cores and 64 GB with requests (2, 8) and (6, 24):
     // the first has 16 * 2/8 = 4 cores and 64 * 8/32 = 16 GB.
-    let (a, b) = (Res::new(2.0, 0.0, 8.0), Res::new(6.0, 0.0, 24.0));
+    let (a, b) = (
+        Resources::new(2.0, 0.0, 8.0),
+        Resources::new(6.0, 0.0, 24.0),
+    );
     let mut sum = a;
     sum += b;
-    let cap = Res::new(16.0, 0.0, 64.0);
-    assert_eq!(endowment(a, cap, sum), Res::new(4.0, 0.0, 16.0));
-    assert_eq!(endowment(b, cap, sum), Res::new(12.0, 0.0, 48.0));
+    let cap = Resources::new(16.0, 0.0, 64.0);
+    assert_eq!(endowment(a, cap, sum), Resources::new(4.0, 0.0, 16.0));
+    assert_eq!(endowment(b, cap, sum), Resources::new(12.0, 0.0, 48.0));
     // Alone on the machine, a task is endowed with all of it.
     assert_eq!(endowment(a, cap, a), cap);
 }
 
 #[test]
 fn s_sums_the_shares_of_what_the_fleet_has() {
-    let fleet = Res::new(100.0, 0.0, 400.0);
-    near(s(Res::new(4.0, 0.0, 16.0), fleet), 0.04 + 0.04);
+    let fleet = Resources::new(100.0, 0.0, 400.0);
+    near(s(Resources::new(4.0, 0.0, 16.0), fleet), 0.04 + 0.04);
     // A resource that the fleet lacks counts nothing.
-    near(s(Res::new(4.0, 3.0, 16.0), fleet), 0.08);
+    near(s(Resources::new(4.0, 3.0, 16.0), fleet), 0.08);
 }
 
 #[test]
 fn quota_scales_the_guarantee_to_the_fleet() {
-    let fleet = Res::new(160.0, 0.0, 640.0);
-    let all = Res::new(320.0, 0.0, 0.0);
-    let aq = actual_quota(Res::new(32.0, 0.0, 0.0), fleet, all);
-    assert_eq!(aq, Res::new(16.0, 0.0, 0.0));
+    let fleet = Resources::new(160.0, 0.0, 640.0);
+    let all = Resources::new(320.0, 0.0, 0.0);
+    let aq = actual_quota(Resources::new(32.0, 0.0, 0.0), fleet, all);
+    assert_eq!(aq, Resources::new(16.0, 0.0, 0.0));
     assert_eq!(
-        actual_quota(Res::default(), fleet, Res::default()),
-        Res::default()
+        actual_quota(Resources::default(), fleet, Resources::default()),
+        Resources::default()
     );
     // Heaviness: one task alone on a 16-core, 64 GB machine, less the quota.
     let heavy = machine_share(
-        Res::new(2.0, 0.0, 8.0),
-        Res::new(16.0, 0.0, 64.0),
-        Res::new(2.0, 0.0, 8.0),
+        Resources::new(2.0, 0.0, 8.0),
+        Resources::new(16.0, 0.0, 64.0),
+        Resources::new(2.0, 0.0, 8.0),
         fleet,
     );
     near(heavy - s(aq, fleet), 0.1 + 0.1 - 0.1);
@@ -80,8 +86,8 @@
 
 #[test]
 fn fitting_counts_every_resource() {
-    let task = Res::new(2.0, 0.0, 7.3);
-    assert_eq!(task.times_in(&Res::new(16.0, 0.0, 64.0)), 8);
-    assert_eq!(task.times_in(&Res::new(16.0, 0.0, 20.0)), 2);
-    assert!(!Res::new(1.0, 1.0, 1.0).fits_in(&Res::new(4.0, 0.0, 16.0)));
+    let task = Resources::new(2.0, 0.0, 7.3);
+    assert_eq!(task.times_in(&Resources::new(16.0, 0.0, 64.0)), 8);
+    assert_eq!(task.times_in(&Resources::new(16.0, 0.0, 20.0)), 2);
+    assert!(!Resources::new(1.0, 1.0, 1.0).fits_in(&Resources::new(4.0, 0.0, 16.0)));
 }
--- a/src/fleet/client.rs
+++ b/src/fleet/client.rs
@@ -57,9 +57,9 @@
                 .list()
                 .await
                 .map_or(CloudReply::Unknown, CloudReply::List),
-            CloudRequest::Rent(name, hire) => {
-                let body = json!({"hire": name, "build": hire.build, "yard": hire.zone,
-                                  "loaners": hire.spot, "howMany": hire.count});
+            CloudRequest::Rent(name, rental) => {
+                let body = json!({"hire": name, "build": rental.build, "yard": rental.zone,
+                                  "loaners": rental.spot, "howMany": rental.count});
                 match self.call("POST", "/machines", Some(body)).await {
                     Some((200, b)) => {
                         read(&b).map_or(CloudReply::Unknown, |r: Rented| CloudReply::Rented(r.rigs))
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -4,11 +4,11 @@
 use super::shards::{Draft, Spread};
 use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
 use crate::blocks::leader::take_terms;
-use crate::blocks::{Freed, HireRec, MachineRec};
+use crate::blocks::{Freed, MachineRecord, RentalRecord};
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::ids::{BlockId, MachineId, Revision};
-use crate::mesh::BlockNews;
+use crate::mesh::BlockState;
 use crate::placement::Need;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -20,15 +20,15 @@
 /// A leader's write, as it comes back with its answer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Write {
-    /// Machines' keys; the hires that it settles.
+    /// Machines' keys; the rentals that it settles.
     Machines {
         settled: Vec<String>,
     },
     /// Makes an earlier write of machines fail, should it still be on its way.
     Fence,
-    Hire {
+    RentalState {
         name: String,
-        hire: HireRec,
+        rental: RentalRecord,
     },
     Drop {
         name: String,
@@ -51,12 +51,12 @@
 }
 
 #[derive(Debug)]
-enum Hire {
+enum RentalState {
     /// The record's write is out.
     Recording,
     /// Recorded: the cloud is to be asked, now or again.
     Ask(Micros),
-    Asked,
+    StatusQuery,
     Rented(Vec<MachineId>),
     Refused,
 }
@@ -65,7 +65,7 @@
 struct Credit {
     block: BlockId,
     until: Micros,
-    capacity: Res,
+    capacity: Resources,
     count: u32,
 }
 
@@ -78,12 +78,12 @@
     stepped: Micros,
     scanned: Micros,
     /// The leadership that this state belongs to, by the leader key's revision.
-    reign: Revision,
+    leader_revision: Revision,
     counter: u64,
     list: BTreeMap<MachineId, Listed>,
     listing: bool,
     listed_at: Micros,
-    hires: BTreeMap<String, (HireRec, Hire)>,
+    rentals: BTreeMap<String, (RentalRecord, RentalState)>,
     backoff: BTreeMap<Offer, Backoff>,
     /// Being returned: when to ask (again), or that the cloud has confirmed it.
     returning: BTreeMap<MachineId, Option<Micros>>,
@@ -103,8 +103,8 @@
     /// The mirror must have caught up with this before the next write.
     wait_for: Revision,
     /// Requests that lacked room lately.
-    shapes: Vec<(Res, Micros)>,
-    /// Room that reports don't show yet, by the hire that brings it.
+    shapes: Vec<(Resources, Micros)>,
+    /// Room that reports don't show yet, by the rental that brings it.
     credits: BTreeMap<String, Credit>,
 }
 
@@ -112,7 +112,7 @@
 const CREDIT: Micros = Micros::from_millis(3_000);
 const STEP_EVERY: Micros = Micros::from_millis(150);
 const SCAN_EVERY: Micros = Micros::from_millis(800);
-const MOST_HIRES_OUT: usize = 6;
+const MOST_RENTALS_OUT: usize = 6;
 /// A large machine must be this much cheaper per task to be rented for small
 /// ones, while large ones lack room.
 const SCARCE: f64 = 1.5;
@@ -123,7 +123,7 @@
 const LEAST_SPREAD: usize = 30;
 const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
 /// The cloud takes no more in one request.
-const MOST_PER_HIRE: u32 = 50;
+const MOST_PER_RENTAL: u32 = 50;
 /// So many lists without a machine that was listed before.
 const GONE_AFTER: u32 = 2;
 const MOST_RETURNED: usize = 100;
@@ -146,16 +146,16 @@
         leader: &Cond,
         seen: Revision,
         types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockNews>,
+        news: &BTreeMap<BlockId, BlockState>,
     ) -> Vec<Effect> {
-        if self.reign != leader.revision {
-            // What an earlier reign knew is stale; answers still out are dropped by
-            // their names. Its hires are in the store.
+        if self.leader_revision != leader.revision {
+            // What an earlier leadership knew is stale; answers still out are dropped by
+            // their names. Its rentals are in the store.
             *self = Manager {
                 txn_ops: self.txn_ops,
                 value_bytes: self.value_bytes,
                 horizon: self.horizon,
-                reign: leader.revision,
+                leader_revision: leader.revision,
                 counter: self.counter,
                 ..Manager::default()
             };
@@ -166,8 +166,8 @@
         }
         self.stepped = now;
         if seen >= self.wait_for {
-            // Before that the mirror may show hires that are settled.
-            self.adopt_hires(now, mirror);
+            // Before that the mirror may show rentals that are settled.
+            self.adopt_rentals(now, mirror);
         }
         if !self.listing && now.since(self.listed_at) >= LIST_EVERY {
             self.listing = true;
@@ -187,17 +187,17 @@
                 out.extend(self.change_machines(mirror, leader, types, news));
             }
         }
-        self.ask_hires(now, mirror, leader, &mut out);
+        self.ask_rentals(now, mirror, leader, &mut out);
         self.rent(now, mirror, leader, types, news, &mut out);
         out
     }
 
     /// Hires that an earlier leader recorded are repeated under their names.
-    fn adopt_hires(&mut self, now: Micros, mirror: &Mirror) {
-        for (name, (_, rec)) in &mirror.hires {
-            self.hires
+    fn adopt_rentals(&mut self, now: Micros, mirror: &Mirror) {
+        for (name, (_, rec)) in &mirror.rentals {
+            self.rentals
                 .entry(name.clone())
-                .or_insert_with(|| (rec.clone(), Hire::Ask(now)));
+                .or_insert_with(|| (rec.clone(), RentalState::Ask(now)));
         }
     }
 
@@ -206,7 +206,7 @@
         now: Micros,
         mirror: &Mirror,
         types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockNews>,
+        news: &BTreeMap<BlockId, BlockState>,
     ) {
         let fresh: BTreeMap<BlockId, BTreeSet<&MachineId>> = news
             .iter()
@@ -283,11 +283,11 @@
             .all_machines()
             .filter(|(_, _, r)| r.freed == Some(Freed::Move));
         self.moves = freed.map(|(_, id, _)| id.clone()).collect();
-        let hired: BTreeSet<&MachineId> = self
-            .hires
+        let rented: BTreeSet<&MachineId> = self
+            .rentals
             .values()
             .filter_map(|(_, h)| match h {
-                Hire::Rented(ids) => Some(ids),
+                RentalState::Rented(ids) => Some(ids),
                 _ => None,
             })
             .flatten()
@@ -295,7 +295,7 @@
         let strange = self.list.values().filter(|m| {
             m.standing != CloudStanding::Failed
                 && mirror.machine(&m.id).is_none()
-                && !hired.contains(&m.id)
+                && !rented.contains(&m.id)
         });
         self.strange = strange.map(|m| m.id.clone()).collect();
     }
@@ -327,38 +327,41 @@
 
     /// One write of the machines' shards: what was rented goes in, what is gone goes
     /// out, what was given up moves on. As much as a transaction takes; the rest
-    /// follows in the next, and a crash in between loses nothing: a hire's record
+    /// follows in the next, and a crash in between loses nothing: a rental's record
     /// goes only with the last of its machines, and a successor repeats it.
     fn change_machines(
         &mut self,
         mirror: &Mirror,
         leader: &Cond,
         types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockNews>,
+        news: &BTreeMap<BlockId, BlockState>,
     ) -> Option<Effect> {
         let blocks: Vec<BlockId> = mirror.holders.keys().copied().collect();
         let first = *blocks.first()?;
         let mut draft = Draft::new(mirror, self.value_bytes, self.txn_ops);
         let mut spread = Spread::new(mirror, news, types, &blocks);
         let (mut settled, mut ops) = (Vec::new(), Vec::new());
-        for (name, (hire, state)) in &self.hires {
-            let Hire::Rented(ids) = state else { continue };
+        for (name, (rental, state)) in &self.rentals {
+            let RentalState::Rented(ids) = state else {
+                continue;
+            };
             if draft.full(ops.len() + 1) {
                 break;
             }
-            let block = if mirror.holders.contains_key(&hire.block) {
-                hire.block
+            let block = if mirror.holders.contains_key(&rental.block) {
+                rental.block
             } else {
                 first
             };
-            let blank = MachineRec::blank(String::new(), &hire.build, &hire.zone, hire.spot);
+            let blank =
+                MachineRecord::blank(String::new(), &rental.build, &rental.zone, rental.spot);
             let all = ids
                 .iter()
                 .filter(|id| mirror.machine(id).is_none())
                 .all(|id| draft.insert(block, id, blank.clone(), ops.len() + 1));
             if all {
                 settled.push(name.clone());
-                ops.push(store::delete(keys::hire(name)));
+                ops.push(store::delete(keys::rental(name)));
             }
         }
         for id in &self.returned {
@@ -377,7 +380,7 @@
             }
             let to = spread.next(&m.build, &m.zone, m.spot).unwrap_or(first);
             let addr = m.addr.clone().unwrap_or_default();
-            let rec = MachineRec::blank(addr, &m.build, &m.zone, m.spot);
+            let rec = MachineRecord::blank(addr, &m.build, &m.zone, m.spot);
             if !draft.insert(to, id, rec, ops.len()) {
                 break;
             }
@@ -421,21 +424,21 @@
         Some(Effect::Txn(Write::Machines { settled }, conds, ops))
     }
 
-    fn ask_hires(&mut self, now: Micros, mirror: &Mirror, leader: &Cond, out: &mut Vec<Effect>) {
-        for (name, (hire, state)) in &mut self.hires {
+    fn ask_rentals(&mut self, now: Micros, mirror: &Mirror, leader: &Cond, out: &mut Vec<Effect>) {
+        for (name, (rental, state)) in &mut self.rentals {
             match state {
-                Hire::Ask(at) if now >= *at => {
+                RentalState::Ask(at) if now >= *at => {
                     out.push(Effect::Cloud(CloudRequest::Rent(
                         name.clone(),
-                        hire.clone(),
+                        rental.clone(),
                     )));
-                    *state = Hire::Asked;
+                    *state = RentalState::StatusQuery;
                 }
-                Hire::Refused => {
-                    *state = Hire::Recording;
+                RentalState::Refused => {
+                    *state = RentalState::Recording;
                     // Only if it is recorded; else there is nothing to drop.
-                    if let Some((revision, _)) = mirror.hires.get(name) {
-                        let key = keys::hire(name);
+                    if let Some((revision, _)) = mirror.rentals.get(name) {
+                        let key = keys::rental(name);
                         let conds = vec![leader.clone(), cond(key.clone(), *revision)];
                         out.push(Effect::Txn(
                             Write::Drop { name: name.clone() },
@@ -443,7 +446,7 @@
                             vec![store::delete(key)],
                         ));
                     } else {
-                        *state = Hire::Refused;
+                        *state = RentalState::Refused;
                     }
                 }
                 _ => {}
@@ -457,7 +460,7 @@
         mirror: &Mirror,
         leader: &Cond,
         types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockNews>,
+        news: &BTreeMap<BlockId, BlockState>,
         out: &mut Vec<Effect>,
     ) {
         self.credits.retain(|_, c| c.until > now);
@@ -472,11 +475,11 @@
             return;
         }
         let out_now = self
-            .hires
+            .rentals
             .values()
-            .filter(|(_, h)| !matches!(h, Hire::Refused))
+            .filter(|(_, h)| !matches!(h, RentalState::Refused))
             .count();
-        let mut may = MOST_HIRES_OUT.saturating_sub(out_now);
+        let mut may = MOST_RENTALS_OUT.saturating_sub(out_now);
         if may == 0 || news.values().all(|n| n.needs.is_empty()) {
             return;
         }
@@ -493,7 +496,7 @@
             // What is on its way serves the needs in their order; so does what is
             // left of a machine that is rented for one of them.
             let on_the_way = self.credits.values().filter(|c| c.block == *b);
-            let mut rooms: Vec<Res> = on_the_way
+            let mut rooms: Vec<Resources> = on_the_way
                 .flat_map(|c| std::iter::repeat_n(c.capacity, c.count as usize))
                 .collect();
             for need in &n.needs {
@@ -517,7 +520,7 @@
                     count = (f64::from(count) * part(3.0 * horizon) / part(horizon)).round() as u32;
                 }
                 let per = need.request.times_in(&t.capacity()).max(1);
-                let machines = count.div_ceil(per).min(MOST_PER_HIRE);
+                let machines = count.div_ceil(per).min(MOST_PER_RENTAL);
                 if machines == 0 {
                     continue;
                 }
@@ -526,40 +529,46 @@
                     let used = (count - (i * per).min(count)).min(per);
                     rooms.push(t.capacity() - need.request.scale(f64::from(used)));
                 }
-                let hire = HireRec {
+                let rental = RentalRecord {
                     build: t.name.clone(),
                     zone,
                     spot,
                     count: machines,
                     block: *b,
                 };
-                out.push(self.record_hire(now, leader, hire, t.capacity()));
+                out.push(self.record_rental(now, leader, rental, t.capacity()));
             }
         }
     }
 
-    /// A hire is recorded before the cloud is asked.
-    fn record_hire(&mut self, now: Micros, leader: &Cond, hire: HireRec, capacity: Res) -> Effect {
+    /// A rental is recorded before the cloud is asked.
+    fn record_rental(
+        &mut self,
+        now: Micros,
+        leader: &Cond,
+        rental: RentalRecord,
+        capacity: Resources,
+    ) -> Effect {
         self.counter += 1;
-        // The reign's revision is never reused, so neither is the name.
-        let name = format!("r-{}-{}", self.reign, self.counter);
-        tracing::info!(%name, ?hire, "renting");
+        // The leadership's revision is never reused, so neither is the name.
+        let name = format!("r-{}-{}", self.leader_revision, self.counter);
+        tracing::info!(%name, ?rental, "renting");
         let until = now + Micros::from_millis(8_000);
         self.credits.insert(
             name.clone(),
             Credit {
-                block: hire.block,
+                block: rental.block,
                 until,
                 capacity,
-                count: hire.count,
+                count: rental.count,
             },
         );
-        let key = keys::hire(&name);
+        let key = keys::rental(&name);
         let conds = vec![leader.clone(), cond(key.clone(), Revision(0))];
-        let ops = vec![store::set(key, &hire)];
-        self.hires
-            .insert(name.clone(), (hire.clone(), Hire::Recording));
-        Effect::Txn(Write::Hire { name, hire }, conds, ops)
+        let ops = vec![store::set(key, &rental)];
+        self.rentals
+            .insert(name.clone(), (rental.clone(), RentalState::Recording));
+        Effect::Txn(Write::RentalState { name, rental }, conds, ops)
     }
 
     /// Whether work that fits no smaller type was short of room lately: there are
@@ -591,11 +600,11 @@
                 for spot in [true, false] {
                     let offer = (t.name.clone(), zone.clone(), spot);
                     let open = self.backoff.get(&offer).is_none_or(|b| now >= b.until);
-                    let asked = self.hires.values().any(|(h, s)| {
+                    let asked = self.rentals.values().any(|(h, s)| {
                         h.build == t.name
                             && h.zone == *zone
                             && h.spot == spot
-                            && !matches!(s, Hire::Refused)
+                            && !matches!(s, RentalState::Refused)
                     });
                     if !open || asked || !need.fits(&t.name, zone, spot, &t.capacity()) {
                         continue;
@@ -640,14 +649,14 @@
                     }
                 }
             }
-            (CloudRequest::Rent(name, hire), reply) => {
-                let Some((_, state)) = self.hires.get_mut(&name) else {
+            (CloudRequest::Rent(name, rental), reply) => {
+                let Some((_, state)) = self.rentals.get_mut(&name) else {
                     return;
                 };
-                let offer = (hire.build.clone(), hire.zone.clone(), hire.spot);
+                let offer = (rental.build.clone(), rental.zone.clone(), rental.spot);
                 match reply {
                     CloudReply::Rented(ids) => {
-                        if (ids.len() as u32) < hire.count {
+                        if (ids.len() as u32) < rental.count {
                             self.backoff.insert(
                                 offer,
                                 Backoff {
@@ -663,17 +672,17 @@
                             c.count = ids.len() as u32;
                             c.until = now + CREDIT;
                         }
-                        *state = Hire::Rented(ids);
+                        *state = RentalState::Rented(ids);
                     }
                     CloudReply::NoCapacity => {
                         let b = self.backoff.entry(offer).or_default();
                         b.times += 1;
                         b.until = now + Micros::from_millis(5_000 << b.times.min(3));
-                        *state = Hire::Refused;
+                        *state = RentalState::Refused;
                         self.credits.remove(&name);
                     }
                     // It may have been carried out: only the same name may ask again.
-                    _ => *state = Hire::Ask(now + Micros::from_millis(1_500)),
+                    _ => *state = RentalState::Ask(now + Micros::from_millis(1_500)),
                 }
             }
             (CloudRequest::Return(ids), reply) => {
@@ -701,7 +710,7 @@
                     Reply::Committed(revision) => {
                         self.wait_for = *revision;
                         for name in settled {
-                            self.hires.remove(&name);
+                            self.rentals.remove(&name);
                         }
                     }
                     // Surely not done, and it never will be.
@@ -716,25 +725,25 @@
                     self.wait_for = *revision;
                 }
             }
-            Write::Hire { name, .. } => {
-                let Some((_, state)) = self.hires.get_mut(&name) else {
+            Write::RentalState { name, .. } => {
+                let Some((_, state)) = self.rentals.get_mut(&name) else {
                     return;
                 };
                 match reply {
-                    Reply::Committed(_) => *state = Hire::Ask(now),
+                    Reply::Committed(_) => *state = RentalState::Ask(now),
                     // Nothing was asked of the cloud under this name. Should the record
                     // still be written, it is found and carried out then.
                     _ => {
-                        self.hires.remove(&name);
+                        self.rentals.remove(&name);
                     }
                 }
             }
             Write::Drop { name } => {
                 if let Reply::Committed(revision) = reply {
                     self.wait_for = self.wait_for.max(*revision);
-                    self.hires.remove(&name);
-                } else if let Some((_, state)) = self.hires.get_mut(&name) {
-                    *state = Hire::Refused;
+                    self.rentals.remove(&name);
+                } else if let Some((_, state)) = self.rentals.get_mut(&name) {
+                    *state = RentalState::Refused;
                 }
             }
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 pub mod manager;
 mod shards;
 
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::ids::MachineId;
 use serde::{Deserialize, Serialize};
 
@@ -30,8 +30,8 @@
 }
 
 impl MachineType {
-    pub fn capacity(&self) -> Res {
-        Res::new(self.cores, self.cards, self.mem)
+    pub fn capacity(&self) -> Resources {
+        Resources::new(self.cores, self.cards, self.mem)
     }
 }
 
@@ -63,7 +63,7 @@
     Types,
     /// The whole list, page by page.
     List,
-    Rent(String, crate::blocks::HireRec),
+    Rent(String, crate::blocks::RentalRecord),
     Return(Vec<MachineId>),
 }
 
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -1,9 +1,9 @@
 //! Where machines are recorded: which block gets one, and in which shard.
 
 use super::MachineType;
-use crate::blocks::{MachineRec, MachinesRec};
+use crate::blocks::{MachineRecord, MachinesRecord};
 use crate::ids::{BlockId, MachineId};
-use crate::mesh::BlockNews;
+use crate::mesh::BlockState;
 use crate::store::TXN_BYTES;
 use crate::store::mirror::Mirror;
 use std::collections::BTreeMap;
@@ -13,7 +13,7 @@
     mirror: &'a Mirror,
     value_bytes: usize,
     txn_ops: usize,
-    pub shards: BTreeMap<(BlockId, u32), MachinesRec>,
+    pub shards: BTreeMap<(BlockId, u32), MachinesRecord>,
 }
 
 impl<'a> Draft<'a> {
@@ -28,12 +28,12 @@
 
     /// Whether no further shard can be changed beside `others` other changes.
     pub fn full(&self, others: usize) -> bool {
-        let bytes: usize = self.shards.values().map(MachinesRec::size).sum();
+        let bytes: usize = self.shards.values().map(MachinesRecord::size).sum();
         // One change is kept for the term.
         self.shards.len() + others + 1 >= self.txn_ops || bytes > TXN_BYTES
     }
 
-    fn shard(&mut self, at: (BlockId, u32), others: usize) -> Option<&mut MachinesRec> {
+    fn shard(&mut self, at: (BlockId, u32), others: usize) -> Option<&mut MachinesRecord> {
         if !self.shards.contains_key(&at) {
             if self.full(others) {
                 return None;
@@ -48,7 +48,13 @@
     }
 
     /// Into the first shard of the block with room, or a new one.
-    pub fn insert(&mut self, b: BlockId, id: &MachineId, rec: MachineRec, others: usize) -> bool {
+    pub fn insert(
+        &mut self,
+        b: BlockId,
+        id: &MachineId,
+        rec: MachineRecord,
+        others: usize,
+    ) -> bool {
         let mut n = 0;
         loop {
             let at = (b, n);
@@ -76,7 +82,7 @@
 /// Spreads machines over the blocks: to the one that lacks such a machine most, by
 /// what its holder reports and what it got just now, or to the one with the least.
 pub struct Spread<'a> {
-    news: &'a BTreeMap<BlockId, BlockNews>,
+    news: &'a BTreeMap<BlockId, BlockState>,
     types: &'a [MachineType],
     cores: BTreeMap<BlockId, f64>,
     given: BTreeMap<BlockId, f64>,
@@ -85,7 +91,7 @@
 impl<'a> Spread<'a> {
     pub fn new(
         mirror: &Mirror,
-        news: &'a BTreeMap<BlockId, BlockNews>,
+        news: &'a BTreeMap<BlockId, BlockState>,
         types: &'a [MachineType],
         blocks: &[BlockId],
     ) -> Self {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -3,7 +3,7 @@
 pub mod ranges;
 
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::fleet::MachineType;
 use crate::ids::{JobId, Label, MachineId, Revision, Term};
 use crate::policy::JobChoice;
@@ -111,8 +111,8 @@
 }
 
 impl JobDesc {
-    pub fn request(&self) -> Res {
-        Res::new(self.cores, self.cards, self.mem)
+    pub fn request(&self) -> Resources {
+        Resources::new(self.cores, self.cards, self.mem)
     }
 
     pub fn footprint(&self) -> Footprint {
@@ -223,7 +223,7 @@
 /// What the store keeps of a job that is not over. It never changes, so that
 /// watchers do not read a description again with every finished task.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct JobRec {
+pub struct JobRecord {
     pub desc: JobDesc,
     /// Time of day at which it was accepted.
     pub at: Micros,
@@ -233,7 +233,7 @@
 
 /// A page of a job's progress, written by its owner.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct ProgressRec {
+pub struct ProgressRecord {
     pub owner: Option<Label>,
     /// Finished tasks of this page.
     pub done: Vec<(u32, u32)>,
@@ -255,12 +255,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Footprint {
     pub team: String,
-    pub request: Res,
+    pub request: Resources,
 }
 
 /// What the store keeps of a job that is over. It never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct EndedRec {
+pub struct EndedRecord {
     pub standing: Standing,
     pub tasks: u32,
     /// For a later holder that finds an attempt of it still on a machine. Records of
@@ -335,7 +335,7 @@
 }
 
 impl Job {
-    pub fn new(rec: &JobRec, revision: Revision, team: usize, page: u32) -> Job {
+    pub fn new(rec: &JobRecord, revision: Revision, team: usize, page: u32) -> Job {
         Job {
             desc: Rc::new(rec.desc.clone()),
             team,
@@ -379,7 +379,7 @@
     }
 
     /// What an earlier owner recorded. Pages need not be cut as ours are.
-    pub fn recall(&mut self, page: u32, revision: Revision, rec: &ProgressRec) {
+    pub fn recall(&mut self, page: u32, revision: Revision, rec: &ProgressRecord) {
         for (a, b) in &rec.done {
             let b = (*b).min(self.desc.tasks);
             self.done.add(*a, b);
@@ -440,7 +440,7 @@
     }
 
     /// What its tasks that failed would hold.
-    pub fn failing(&self) -> Res {
+    pub fn failing(&self) -> Resources {
         let tasks = self.failures.min(self.waiting.len());
         self.desc.request().scale(f64::from(tasks))
     }
@@ -484,7 +484,7 @@
     /// left over are litter, which the leader clears.
     pub fn end_ops(&self, most: usize) -> (Vec<Cond>, Vec<Op>) {
         let id = &self.desc.id;
-        let ended = EndedRec {
+        let ended = EndedRecord {
             standing: Standing::Done,
             tasks: self.desc.tasks,
             footprint: Some(self.desc.footprint()),
@@ -515,7 +515,7 @@
             let Some(page) = self.take_dirty_page() else {
                 break;
             };
-            let rec = ProgressRec {
+            let rec = ProgressRecord {
                 owner: Some(owner.clone()),
                 done: self.done.slice(page * self.page, (page + 1) * self.page),
                 running: if page == 0 {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -17,8 +17,8 @@
     JobDesc::parse(b.to_string().as_bytes()).expect("well formed")
 }
 
-pub fn rec(id: &str, tasks: u32, born: Term) -> JobRec {
-    JobRec {
+pub fn rec(id: &str, tasks: u32, born: Term) -> JobRecord {
+    JobRecord {
         desc: desc(id, tasks),
         at: Micros(0),
         born,
@@ -187,7 +187,7 @@
 
 #[test]
 fn the_operators_choice_narrows_what_a_job_allows_and_orders_it() {
-    let rec = |d: JobDesc| JobRec {
+    let rec = |d: JobDesc| JobRecord {
         desc: d,
         at: Micros::ZERO,
         born: Term(1),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -20,7 +20,7 @@
 
 /// What a holder tells of a block.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct BlockNews {
+pub struct BlockState {
     /// When it was received, by the receiver's clock.
     #[serde(skip)]
     pub at: Micros,
@@ -31,19 +31,19 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct News {
+pub struct PeerState {
     pub from: Label,
     pub incarnation: Revision,
     pub store_ok: bool,
     /// False: it hears none of its machines.
     pub hears_workers: bool,
-    pub blocks: Vec<BlockNews>,
+    pub blocks: Vec<BlockState>,
 }
 
 /// What controllers tell each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    News(News),
+    PeerState(PeerState),
     /// The store has confirmed that a job is cancelled, at this revision. Whoever holds
     /// its block hears it here before the watch tells, or while the store can't be read.
     Cancelled {
--- a/src/mesh/tests.rs
+++ b/src/mesh/tests.rs
@@ -2,12 +2,12 @@
 
 #[test]
 fn frames_round_trip_and_other_versions_are_skipped() {
-    let news = News {
+    let news = PeerState {
         from: "c0".into(),
         incarnation: Revision(3),
         store_ok: true,
         hears_workers: true,
-        blocks: vec![BlockNews {
+        blocks: vec![BlockState {
             at: Micros(0),
             block: BlockId(1),
             term: Term(4),
@@ -21,7 +21,7 @@
     };
     let frame = encode(&cancelled).expect("encodes");
     assert_eq!(decode(&frame), Some(cancelled));
-    let news = Message::News(news);
+    let news = Message::PeerState(news);
     let frame = encode(&news).expect("encodes");
     assert_eq!(decode(&frame), Some(news));
     let mut other = frame.to_vec();
--- a/src/placement/picky.rs
+++ b/src/placement/constrained.rs
@@ -5,15 +5,15 @@
 //! As long as the other can well wait, it leaves such machines to the class: room
 //! is held for the class on all of them, not on a few.
 
-use super::{Queues, Scene};
+use super::{Queues, SchedulingSnapshot};
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::fleet::MachineType;
 use crate::jobs::{Job, JobDesc, allows_build};
 
 #[derive(Debug, Default)]
-pub struct Picky {
-    types: Vec<(String, Res)>,
+pub struct ConstrainedDemand {
+    types: Vec<(String, Resources)>,
     /// Of each class that waits: the types that it fits, by their places.
     waiting: Vec<Vec<bool>>,
 }
@@ -27,9 +27,9 @@
 /// How many waiting jobs are looked at.
 const MOST: usize = 200;
 
-impl Picky {
+impl ConstrainedDemand {
     pub fn new(types: &[MachineType]) -> Self {
-        Picky {
+        ConstrainedDemand {
             types: types
                 .iter()
                 .map(|t| (t.name.clone(), t.capacity()))
@@ -40,14 +40,14 @@
 
     fn fitting(&self, d: &JobDesc) -> Vec<bool> {
         let request = d.request();
-        let fits = |(name, capacity): &(String, Res)| {
+        let fits = |(name, capacity): &(String, Resources)| {
             request.fits_in(capacity) && allows_build(&d.builds, name)
         };
         self.types.iter().map(fits).collect()
     }
 
     /// The classes that wait now, of teams that may have more.
-    pub fn waiting(&self, scene: &Scene<'_>, queues: &Queues) -> Vec<Vec<bool>> {
+    pub fn waiting(&self, scene: &SchedulingSnapshot<'_>, queues: &Queues) -> Vec<Vec<bool>> {
         let mut waiting: Vec<Vec<bool>> = Vec::new();
         for (t, queue) in queues {
             let limit = scene.settings.platform.teams[*t].limit();
@@ -89,9 +89,9 @@
         }
         let own = self.fitting(d);
         // To those that fit there and not everywhere that this job does.
-        let pickier = |c: &&Vec<bool>| c.iter().zip(&own).any(|(c, own)| *own && !c);
+        let more_constrained = |c: &&Vec<bool>| c.iter().zip(&own).any(|(c, own)| *own && !c);
         let mut leaves = Vec::new();
-        for class in self.waiting.iter().filter(pickier) {
+        for class in self.waiting.iter().filter(more_constrained) {
             for (i, (name, _)) in self.types.iter().enumerate() {
                 if class[i] && !leaves.contains(&name.as_str()) {
                     leaves.push(name.as_str());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,16 +5,16 @@
 //! is compared with the most room of each kind of machine before any of them is
 //! looked at, and room that gets free on one machine is refilled alone.
 
+mod constrained;
 mod needs;
-mod picky;
 mod preempt;
 
+pub use constrained::ConstrainedDemand;
 pub use needs::{Coming, Need, needs};
-pub use picky::Picky;
 pub use preempt::{Preemption, Stop, preempt};
 
 use crate::clock::Micros;
-use crate::fairness::{Load, Res, Weights, s};
+use crate::fairness::{Load, Resources, Weights, s};
 use crate::ids::{JobId, MachineId, Term};
 use crate::jobs::{ImageKey, Job, JobDesc};
 use crate::settings::Settings;
@@ -33,8 +33,8 @@
 
 /// Tasks that are decided alike: if one finds no room, none does.
 #[derive(Debug, Clone, PartialEq)]
-struct Shape<'a> {
-    request: Res,
+struct ResourceShape<'a> {
+    request: Resources,
     builds: Option<&'a [String]>,
     zone: Option<&'a str>,
     spot: bool,
@@ -42,8 +42,8 @@
     own: Option<&'a JobId>,
 }
 
-fn shape(d: &JobDesc) -> Shape<'_> {
-    Shape {
+fn shape(d: &JobDesc) -> ResourceShape<'_> {
+    ResourceShape {
         request: d.request(),
         builds: d.builds.as_deref(),
         zone: d.zone.as_deref(),
@@ -53,10 +53,10 @@
 }
 
 /// What placement may look at.
-pub struct Scene<'a> {
+pub struct SchedulingSnapshot<'a> {
     pub settings: &'a Settings,
     /// All machines of all blocks.
-    pub fleet: Res,
+    pub fleet: Resources,
     pub now: Micros,
     pub day: Micros,
     pub jobs: &'a BTreeMap<JobId, Job>,
@@ -64,15 +64,15 @@
     pub teams: &'a [usize],
     pub weights: &'a Weights,
     /// The term of a take-over that is not complete yet.
-    pub rebuilding: Option<&'a Rebuilding>,
+    pub recovery: Option<&'a Recovery>,
     pub heard_within: Micros,
     /// Waiting classes with little choice of machines.
-    pub picky: &'a Picky,
+    pub constrained: &'a ConstrainedDemand,
     /// By team, what its jobs that fail again and again would hold.
-    pub failing: Vec<(usize, Res)>,
+    pub failing: Vec<(usize, Resources)>,
 }
 
-impl Scene<'_> {
+impl SchedulingSnapshot<'_> {
     fn heaviness(&self, weights: &Weights, team: usize) -> f64 {
         let guarantee = self.settings.platform.teams[team].guarantee();
         // Guards against a broken team that stays lightest (the design's watch item): its
@@ -90,7 +90,7 @@
         && m.leaving == Leaving::No
         && !m.load.unknown
         && m.taken_at.is_none()
-        && m.unreached == 0
+        && m.unsent_commands == 0
         // Guards against work for a mute machine: it hears direct commands, but reaches
         // no controller, so that its session ends with its lease, again and again.
         && m.last_report.is_some_and(|h| now.since(h) < heard_within)
@@ -99,14 +99,14 @@
 
 /// A take-over that is not complete yet.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Rebuilding {
+pub struct Recovery {
     pub term: Term,
     /// Of the machines that have not reported since and may run anything: type, zone,
     /// kind and capacity, each once. No capacity: it is not known.
-    pub silent: Vec<(String, String, bool, Option<Res>)>,
+    pub silent: Vec<(String, String, bool, Option<Resources>)>,
 }
 
-impl Rebuilding {
+impl Recovery {
     /// Whether an attempt of a job may be on a machine that is still silent. One born
     /// under this term has no old attempts; an older one has them only where it fits.
     fn may_hold(&self, job: &Job) -> bool {
@@ -119,10 +119,10 @@
 }
 
 /// Whether a job's tasks may be launched at all now.
-pub fn launchable(job: &Job, now: Micros, rebuilding: Option<&Rebuilding>) -> bool {
+pub fn launchable(job: &Job, now: Micros, recovery: Option<&Recovery>) -> bool {
     // Guards against a task on two machines: while some of the block have not reported
     // since the take-over, an old job's tasks may run there.
-    let old = rebuilding.is_some_and(|r| r.may_hold(job));
+    let old = recovery.is_some_and(|r| r.may_hold(job));
     !old && !job.ended && !job.waiting.is_empty() && now >= job.not_before
 }
 
@@ -141,7 +141,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Queued {
     id: JobId,
-    request: Res,
+    request: Resources,
     starved: bool,
 }
 
@@ -149,10 +149,10 @@
 pub type Queues = BTreeMap<usize, Vec<Queued>>;
 
 /// Inside a team: those that starve, then rank, then slack, then age.
-pub fn queues(scene: &Scene<'_>) -> Queues {
+pub fn queues(scene: &SchedulingSnapshot<'_>) -> Queues {
     let mut queues: BTreeMap<usize, Vec<(&JobId, &Job)>> = BTreeMap::new();
     for (id, job) in scene.jobs {
-        if launchable(job, scene.now, scene.rebuilding) {
+        if launchable(job, scene.now, scene.recovery) {
             queues.entry(job.team).or_default().push((id, job));
         }
     }
@@ -171,19 +171,19 @@
     queues.into_iter().map(ids).collect()
 }
 
-struct Room<'a> {
+struct CandidateMachine<'a> {
     id: &'a MachineId,
     machine: &'a Machine,
-    free: Res,
+    free: Resources,
     load: Cow<'a, Load>,
     /// Images that come with what was placed in this pass.
     images: Vec<ImageKey>,
     held_for: Option<&'a JobId>,
 }
 
-impl<'a> Room<'a> {
+impl<'a> CandidateMachine<'a> {
     fn new(id: &'a MachineId, machine: &'a Machine) -> Self {
-        Room {
+        CandidateMachine {
             id,
             machine,
             free: machine.capacity - machine.load.summed,
@@ -194,7 +194,7 @@
     }
 
     /// What is free for a job, without what others were stopped for.
-    fn free_for(&self, id: &JobId, now: Micros) -> Res {
+    fn free_for(&self, id: &JobId, now: Micros) -> Resources {
         let mut free = self.free;
         for r in self
             .machine
@@ -218,33 +218,33 @@
     zone: &'a str,
     spot: bool,
     /// The most that any of them has free; less may be left by now.
-    most: Res,
+    most: Resources,
     rooms: Vec<usize>,
 }
 
 /// The machines that a pass may use.
-pub struct Floor<'a> {
-    rooms: Vec<Room<'a>>,
+pub struct CandidateMachines<'a> {
+    rooms: Vec<CandidateMachine<'a>>,
     kinds: Vec<Kind<'a>>,
     /// The most that any machine has free.
-    most: Res,
+    most: Resources,
     /// Room is held only by passes that see the whole block.
     whole: bool,
     /// Machines compared with a class so far: what a pass costs.
-    pub looked_at: usize,
+    pub machines_compared: usize,
 }
 
-impl<'a> Floor<'a> {
+impl<'a> CandidateMachines<'a> {
     /// All machines of the block that can be used now.
-    pub fn whole(scene: &Scene<'a>) -> Self {
+    pub fn whole(scene: &SchedulingSnapshot<'a>) -> Self {
         let usable = |m: &&Machine| usable(m, scene.now, scene.heard_within);
         let rooms = scene.machines.iter().filter(|(_, m)| usable(m));
-        let mut floor = Floor {
-            rooms: rooms.map(|(id, m)| Room::new(id, m)).collect(),
+        let mut floor = CandidateMachines {
+            rooms: rooms.map(|(id, m)| CandidateMachine::new(id, m)).collect(),
             kinds: Vec::new(),
-            most: Res::default(),
+            most: Resources::default(),
             whole: true,
-            looked_at: 0,
+            machines_compared: 0,
         };
         for (i, r) in floor.rooms.iter().enumerate() {
             let m = r.machine;
@@ -279,12 +279,12 @@
     }
 
     /// One machine, on which room got free.
-    pub fn one(scene: &Scene<'a>, id: &'a MachineId) -> Option<Self> {
+    pub fn one(scene: &SchedulingSnapshot<'a>, id: &'a MachineId) -> Option<Self> {
         let m = scene.machines.get(id)?;
         if !usable(m, scene.now, scene.heard_within) {
             return None;
         }
-        let mut room = Room::new(id, m);
+        let mut room = CandidateMachine::new(id, m);
         // Held room stays held while the job that it is for still waits.
         let waits = |j: &&JobId| scene.jobs.get(*j).is_some_and(|j| !j.waiting.is_empty());
         room.held_for = m.held_for.as_ref().filter(waits);
@@ -295,20 +295,20 @@
             most: room.free,
             rooms: vec![0],
         };
-        Some(Floor {
+        Some(CandidateMachines {
             most: room.free,
             rooms: vec![room],
             kinds: vec![kind],
             whole: false,
-            looked_at: 0,
+            machines_compared: 0,
         })
     }
 
     /// The machines where a task fits now, the best one last.
-    fn candidates(&mut self, scene: &Scene<'_>, id: &JobId, job: &Job) -> Vec<usize> {
+    fn candidates(&mut self, scene: &SchedulingSnapshot<'_>, id: &JobId, job: &Job) -> Vec<usize> {
         let d = &*job.desc;
         let (request, image) = (d.request(), d.image_key());
-        let leaves = scene.picky.leaves(job, scene.day);
+        let leaves = scene.constrained.leaves(job, scene.day);
         let mut found: Vec<(f64, usize)> = Vec::new();
         for kind in &self.kinds {
             if !request.fits_in(&kind.most)
@@ -317,7 +317,7 @@
             {
                 continue;
             }
-            self.looked_at += kind.rooms.len();
+            self.machines_compared += kind.rooms.len();
             for &i in &kind.rooms {
                 let r = &self.rooms[i];
                 // A job that failed on a machine tries others first.
@@ -340,7 +340,7 @@
         let request = d.request();
         let most = (waiting as usize).min(1 + self.rooms.len() / HELD_PART);
         let mut found: Vec<(f64, usize)> = Vec::new();
-        self.looked_at += self.rooms.len();
+        self.machines_compared += self.rooms.len();
         for (i, r) in self.rooms.iter().enumerate() {
             let m = r.machine;
             if request.fits_in(&m.capacity)
@@ -367,15 +367,15 @@
     /// The head job that fits nowhere, and the machines that are held for it.
     pub held: Option<(JobId, Vec<MachineId>)>,
     /// Machines compared with a class: what the pass cost.
-    pub looked_at: usize,
+    pub machines_compared: usize,
 }
 
 /// Decides what to start now, best first: at most `most` tasks, and looking at no
 /// more than `reach` jobs of each team.
 pub fn place<'a>(
-    scene: &Scene<'a>,
+    scene: &SchedulingSnapshot<'a>,
     queues: &'a Queues,
-    mut floor: Floor<'a>,
+    mut floor: CandidateMachines<'a>,
     reach: usize,
     most: usize,
 ) -> Placed {
@@ -384,7 +384,7 @@
     let mut candidates: BTreeMap<&JobId, Vec<usize>> = BTreeMap::new();
     let mut taken: BTreeMap<&JobId, u32> = BTreeMap::new();
     let mut zones: BTreeMap<&JobId, BTreeMap<&str, u32>> = BTreeMap::new();
-    let mut hopeless: Vec<Shape<'_>> = Vec::new();
+    let mut hopeless: Vec<ResourceShape<'_>> = Vec::new();
     let mut held = None;
     // Of each team: heaviness, and its jobs that are left to look at.
     let mut left: Vec<(usize, f64, &[Queued])> = queues
@@ -414,7 +414,7 @@
         let next = scene
             .jobs
             .get(id)
-            .filter(|j| launchable(j, scene.now, scene.rebuilding))
+            .filter(|j| launchable(j, scene.now, scene.recovery))
             .and_then(|j| {
                 let taken = taken.get(id).copied().unwrap_or(0);
                 let index = nth(j, taken).filter(|_| taken < j.startable())?;
@@ -457,7 +457,7 @@
         let Some(&i) = found.last() else {
             // A job that avoids machines, or leaves them to others for now, says
             // nothing about its like, and holds nothing.
-            if !scene.picky.leaves(job, scene.day).is_empty() {
+            if !scene.constrained.leaves(job, scene.day).is_empty() {
                 *queue = rest;
                 continue;
             }
@@ -500,7 +500,7 @@
     Placed {
         choices,
         held,
-        looked_at: floor.looked_at,
+        machines_compared: floor.machines_compared,
     }
 }
 
@@ -518,7 +518,7 @@
 
 /// How good a place is: small tasks go where large ones can't, images are not
 /// fetched without need, and where one must be, sooner rather than later.
-fn worth(r: &Room<'_>, d: &JobDesc, image: ImageKey) -> f64 {
+fn worth(r: &CandidateMachine<'_>, d: &JobDesc, image: ImageKey) -> f64 {
     let mut worth = d.request().share_of(&r.free);
     if r.machine.images.contains(&image) || r.images.contains(&image) {
         worth += 2.0;
@@ -537,9 +537,11 @@
 /// Spot machines are filled first, so that the dear ones get idle and are returned.
 const SPOT_FIRST: f64 = 1.2;
 
-fn missing(r: &Room<'_>, request: &Res) -> f64 {
+fn missing(r: &CandidateMachine<'_>, request: &Resources) -> f64 {
     let lacking = *request - r.free;
-    lacking.most(Res::default()).share_of(&r.machine.capacity)
+    lacking
+        .most(Resources::default())
+        .share_of(&r.machine.capacity)
 }
 
 /// How many of a job's tasks are, or may be, in each zone.
@@ -548,10 +550,10 @@
     if job.desc.one_zone || job.desc.apart {
         for m in machines.values() {
             // Attempts, not only known tasks: one being stopped is still there.
-            let of_job = |(k, a): &(&crate::workers::Key, &Attempt)| {
+            let of_job = |(k, a): &(&crate::workers::AttemptKey, &Attempt)| {
                 k.0.job == job.desc.id && a.phase != Phase::Exited
             };
-            let n = m.tries.iter().filter(of_job).count() as u32;
+            let n = m.attempts.iter().filter(of_job).count() as u32;
             if n > 0 {
                 *zones.entry(m.zone.as_str()).or_default() += n;
             }
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -1,8 +1,8 @@
 //! The room that waiting work lacks, for renting and for moving machines.
 
-use super::Scene;
+use super::SchedulingSnapshot;
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::jobs::{Job, JobDesc, allows_build};
 use crate::workers::Leaving;
 use std::cmp::Reverse;
@@ -11,7 +11,7 @@
 /// Waiting work of one class.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Need {
-    pub request: Res,
+    pub request: Resources,
     pub builds: Option<Vec<String>>,
     pub zone: Option<String>,
     pub spot: bool,
@@ -22,7 +22,7 @@
 }
 
 impl Need {
-    pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Res) -> bool {
+    pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Resources) -> bool {
         (self.spot || !spot)
             && self.zone.as_deref().is_none_or(|z| z == zone)
             && allows_build(&self.builds, build)
@@ -39,7 +39,7 @@
 }
 
 /// Machines on their way that are alike: capacity, type, zone, kind, how many.
-pub type Coming<'a> = (Res, &'a str, &'a str, bool, u32);
+pub type Coming<'a> = (Resources, &'a str, &'a str, bool, u32);
 
 /// Work that has waited this long rents at once.
 const LONG: Micros = Micros::from_millis(10_000);
@@ -79,8 +79,8 @@
 }
 
 /// The room that the block's waiting work still lacks, after what is booting.
-pub fn needs(scene: &Scene<'_>, coming: &[Coming<'_>], horizon: Micros) -> Vec<Need> {
-    let mut left: BTreeMap<usize, Res> = BTreeMap::new();
+pub fn needs(scene: &SchedulingSnapshot<'_>, coming: &[Coming<'_>], horizon: Micros) -> Vec<Need> {
+    let mut left: BTreeMap<usize, Resources> = BTreeMap::new();
     for &t in scene.teams {
         let limit = scene.settings.platform.teams[t].limit();
         left.insert(t, limit - scene.weights.of(t).used);
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -1,13 +1,13 @@
 //! What to stop, for whom: work of a lower rank, or work above its team's
 //! guarantee for a team below its own, and only where little is lost.
 
-use super::{Scene, launchable, usable};
+use super::{SchedulingSnapshot, launchable, usable};
 use crate::clock::Micros;
-use crate::fairness::{Res, Weights};
+use crate::fairness::{Resources, Weights};
 use crate::ids::{JobId, MachineId};
 use crate::jobs::{Job, Rank};
 use crate::settings::Team;
-use crate::workers::{Attempt, Key, Machine, Phase, Reserved};
+use crate::workers::{Attempt, AttemptKey, Machine, Phase, Reserved};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Work to be stopped for a job, and the room that this keeps for it.
@@ -15,7 +15,7 @@
 pub struct Stop {
     pub machine: MachineId,
     /// With the time that each needs to save.
-    pub victims: Vec<(Key, f64)>,
+    pub victims: Vec<(AttemptKey, f64)>,
     pub reserve: Reserved,
 }
 
@@ -24,7 +24,7 @@
 pub struct Preemption {
     pub stops: Vec<Stop>,
     /// Machines compared with a job: what the pass cost.
-    pub looked_at: usize,
+    pub machines_compared: usize,
 }
 
 const PRESSED_US: i64 = 8_000_000;
@@ -103,12 +103,12 @@
 /// Decides what to stop: for work of a higher rank, or so that a team gets its
 /// guarantee from one that runs above its own. Only if little is lost for what is
 /// won (`WORTH_IT`).
-pub fn preempt(scene: &Scene<'_>) -> Preemption {
+pub fn preempt(scene: &SchedulingSnapshot<'_>) -> Preemption {
     let lowest = lowest_running(scene);
     let mut jobs: Vec<(&JobId, &Job)> = scene
         .jobs
         .iter()
-        .filter(|(_, j)| launchable(j, scene.now, scene.rebuilding) && pressed(j, scene.day))
+        .filter(|(_, j)| launchable(j, scene.now, scene.recovery) && pressed(j, scene.day))
         // Where its tasks may go changes with each; it waits for its turn.
         .filter(|(_, j)| !j.desc.one_zone && !j.desc.apart)
         // Guards against walks over all machines for work that may stop nothing there:
@@ -119,7 +119,7 @@
     if jobs.is_empty() {
         return Preemption::default();
     }
-    let mut looked_at = 0;
+    let mut machines_compared = 0;
     let mut weights = scene.weights.clone();
     let heavy: BTreeMap<usize, f64> = scene
         .teams
@@ -136,8 +136,8 @@
     });
     jobs.truncate(MOST_JOBS);
     let mut stops: Vec<Stop> = Vec::new();
-    let mut gone: BTreeSet<Key> = BTreeSet::new();
-    let mut free: BTreeMap<&MachineId, Res> = BTreeMap::new();
+    let mut gone: BTreeSet<AttemptKey> = BTreeSet::new();
+    let mut free: BTreeMap<&MachineId, Resources> = BTreeMap::new();
     for (id, m) in scene
         .machines
         .iter()
@@ -146,7 +146,7 @@
         let mut room = m.capacity - m.load.summed;
         // What is being stopped was stopped for someone.
         for t in m
-            .tries
+            .attempts
             .values()
             .filter(|t| t.halt.is_some() && t.phase != Phase::Exited)
         {
@@ -188,7 +188,7 @@
             continue;
         }
         let guaranteed = within_guarantee(limits, used, request);
-        looked_at += free.len();
+        machines_compared += free.len();
         // One walk over the machines for the whole class, the cheapest first.
         let mut plans: Vec<Plan<'_>> = free
             .iter()
@@ -213,7 +213,7 @@
             let mut load = m.load.clone();
             weights.remove(&load, m.capacity);
             for (key, _) in &plan.victims {
-                if let Some(t) = m.tries.get(key) {
+                if let Some(t) = m.attempts.get(key) {
                     *room += t.request();
                     if let Some((team, request)) = t.takes {
                         load.take(team, request.scale(-1.0));
@@ -237,17 +237,20 @@
             });
         }
     }
-    Preemption { stops, looked_at }
+    Preemption {
+        stops,
+        machines_compared,
+    }
 }
 
 /// The lowest rank of which anything is on a machine.
-fn lowest_running(scene: &Scene<'_>) -> Option<Rank> {
+fn lowest_running(scene: &SchedulingSnapshot<'_>) -> Option<Rank> {
     let running = scene.jobs.values().filter(|j| !j.active.is_empty());
     running.map(|j| j.desc.rank).min()
 }
 
 /// Whether one more task of a job is within its team's guarantee.
-fn guaranteed(scene: &Scene<'_>, job: &Job) -> bool {
+fn guaranteed(scene: &SchedulingSnapshot<'_>, job: &Job) -> bool {
     let team = &scene.settings.platform.teams[job.team];
     let used = scene.weights.of(job.team).used;
     within_guarantee(team, used, job.desc.request())
@@ -255,16 +258,20 @@
 
 /// Whether a request fits the team's guarantee beside what the team uses. Memory is not
 /// guaranteed.
-fn within_guarantee(team: &Team, used: Res, request: Res) -> bool {
+fn within_guarantee(team: &Team, used: Resources, request: Resources) -> bool {
     let mut after = used;
     after += request;
     let guarantee = team.guarantee();
-    after.fits_in(&Res::new(guarantee.cores, guarantee.cards, f64::INFINITY))
+    after.fits_in(&Resources::new(
+        guarantee.cores,
+        guarantee.cards,
+        f64::INFINITY,
+    ))
 }
 
 struct Plan<'a> {
     machine: &'a MachineId,
-    victims: Vec<(Key, f64)>,
+    victims: Vec<(AttemptKey, f64)>,
     count: u32,
     /// Lost per won.
     price: f64,
@@ -272,14 +279,14 @@
 
 #[allow(clippy::too_many_arguments)]
 fn victims<'a>(
-    scene: &Scene<'_>,
+    scene: &SchedulingSnapshot<'_>,
     weights: &Weights,
     machine: &'a MachineId,
-    room: Res,
+    room: Resources,
     job: &Job,
     pending: u32,
     guaranteed: bool,
-    gone: &BTreeSet<Key>,
+    gone: &BTreeSet<AttemptKey>,
 ) -> Option<Plan<'a>> {
     let (m, d) = (scene.machines.get(machine)?, &job.desc);
     let request = d.request();
@@ -303,8 +310,8 @@
         });
         guaranteed && above == Some(true)
     };
-    let mut candidates: Vec<(&Key, &Attempt, f64, f64)> = m
-        .tries
+    let mut candidates: Vec<(&AttemptKey, &Attempt, f64, f64)> = m
+        .attempts
         .iter()
         .filter(|(k, t)| !gone.contains(k) && may(t))
         .filter_map(|(k, t)| loss(t, scene.now).map(|(lost, leeway)| (k, t, lost, leeway)))
--- a/src/policy/lang.rs
+++ b/src/policy/lang.rs
@@ -6,21 +6,21 @@
 
 /// Where in a file, counted from 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct At {
+pub struct SourcePosition {
     pub line: usize,
     pub column: usize,
 }
 
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub struct PolicyError {
-    pub at: At,
+    pub at: SourcePosition,
     pub why: String,
     pub hint: String,
 }
 
 impl fmt::Display for PolicyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let At { line, column } = self.at;
+        let SourcePosition { line, column } = self.at;
         write!(f, "line {line}, column {column}: {}", self.why)?;
         if !self.hint.is_empty() {
             write!(f, " ({})", self.hint)?;
@@ -29,7 +29,11 @@
     }
 }
 
-pub fn fail<T>(at: At, why: impl Into<String>, hint: impl Into<String>) -> Result<T, PolicyError> {
+pub fn fail<T>(
+    at: SourcePosition,
+    why: impl Into<String>,
+    hint: impl Into<String>,
+) -> Result<T, PolicyError> {
     Err(PolicyError {
         at,
         why: why.into(),
@@ -91,7 +95,7 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Expr {
-    at: At,
+    at: SourcePosition,
     node: Node,
 }
 
@@ -107,7 +111,7 @@
 }
 
 /// A file of settings: each name, where it stands, and its expression.
-pub type Settings = Vec<(String, At, Expr)>;
+pub type Settings = Vec<(String, SourcePosition, Expr)>;
 
 const MOST_BYTES: usize = 64 * 1024;
 /// Guards against an expression so deep that reading it overflows the stack.
@@ -128,13 +132,13 @@
     "<=", ">=", "==", "!=", "<", ">", "=", "+", "-", "*", "/", "(", ")", ",", ";", "!",
 ];
 
-fn tokens(text: &str) -> Result<Vec<(FencingToken, At)>, PolicyError> {
+fn tokens(text: &str) -> Result<Vec<(FencingToken, SourcePosition)>, PolicyError> {
     let mut out = Vec::new();
     for (n, line) in text.lines().enumerate() {
         let mut rest = line;
         while let Some(c) = rest.chars().next() {
             let column = 1 + line[..line.len() - rest.len()].chars().count();
-            let at = At {
+            let at = SourcePosition {
                 line: n + 1,
                 column,
             };
@@ -168,12 +172,12 @@
         }
     }
     let line = text.lines().count().max(1);
-    out.push((FencingToken::End, At { line, column: 1 }));
+    out.push((FencingToken::End, SourcePosition { line, column: 1 }));
     Ok(out)
 }
 
 struct Reader {
-    tokens: Vec<(FencingToken, At)>,
+    tokens: Vec<(FencingToken, SourcePosition)>,
     next: usize,
     depth: usize,
     pairs: usize,
@@ -181,7 +185,7 @@
 
 /// Reads a whole file.
 pub fn parse(text: &str) -> Result<Settings, PolicyError> {
-    let start = At { line: 1, column: 1 };
+    let start = SourcePosition { line: 1, column: 1 };
     if text.len() > MOST_BYTES {
         return fail(start, "the file is over 64 KiB", "");
     }
@@ -210,7 +214,7 @@
 }
 
 impl Reader {
-    fn at(&self) -> At {
+    fn at(&self) -> SourcePosition {
         self.tokens[self.next].1
     }
 
@@ -332,7 +336,7 @@
         Ok(Expr { at, node })
     }
 
-    fn arguments(&mut self, at: At, wanted: usize) -> Result<Vec<Expr>, PolicyError> {
+    fn arguments(&mut self, at: SourcePosition, wanted: usize) -> Result<Vec<Expr>, PolicyError> {
         self.expect("(")?;
         let mut all = vec![self.expr()?];
         while self.eat(",") {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,7 +6,7 @@
 use crate::clock::Micros;
 use crate::jobs::{JobDesc, Rank};
 use crate::settings::Settings;
-use lang::{At, Expr, Kind, PolicyError, Value, fail, nearest};
+use lang::{Expr, Kind, PolicyError, SourcePosition, Value, fail, nearest};
 use std::path::Path;
 
 /// The policy without a file, as `rockdeal policy` prints it.
@@ -140,7 +140,7 @@
             within(name, *at, expr.check(scope)?, *wanted)?;
         }
         chosen.extend(lang::parse(DEFAULT)?);
-        let start = At { line: 1, column: 1 };
+        let start = SourcePosition { line: 1, column: 1 };
         // The first is the file's, if it has one.
         let find = |name: &str| match chosen.iter().find(|(n, ..)| n == name) {
             Some((.., e)) => Ok(e.clone()),
@@ -212,7 +212,7 @@
 }
 
 /// Whether what a setting gives is what it must.
-fn within(name: &str, at: At, given: Kind, wanted: Kind) -> Result<(), PolicyError> {
+fn within(name: &str, at: SourcePosition, given: Kind, wanted: Kind) -> Result<(), PolicyError> {
     let (why, hint) = match (given, wanted) {
         (Kind::Number(a, b), Kind::Number(least, most)) => {
             if a >= least && b <= most {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,7 +3,7 @@
 pub mod sockets;
 
 use crate::clock::Micros;
-use crate::fairness::Res;
+use crate::fairness::Resources;
 use crate::ids::Label;
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -48,15 +48,15 @@
 }
 
 impl Team {
-    pub fn guarantee(&self) -> Res {
-        Res::new(self.cpus, self.gpus, 0.0)
+    pub fn guarantee(&self) -> Resources {
+        Resources::new(self.cpus, self.gpus, 0.0)
     }
 
     /// The limit on what its tasks use; memory is not limited. 0 is none: guarded by it
     /// a guest team without a guarantee was refused all that it submitted.
-    pub fn limit(&self) -> Res {
+    pub fn limit(&self) -> Resources {
         let most = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
-        Res::new(most(self.cpus_max), most(self.gpus_max), f64::INFINITY)
+        Resources::new(most(self.cpus_max), most(self.gpus_max), f64::INFINITY)
     }
 }
 
@@ -268,8 +268,8 @@
         self.platform.teams.iter().position(|t| t.name == name)
     }
 
-    pub fn guarantees(&self) -> Res {
-        let mut all = Res::default();
+    pub fn guarantees(&self) -> Resources {
+        let mut all = Resources::default();
         for t in &self.platform.teams {
             all += t.guarantee();
         }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -4,10 +4,13 @@
 //! that it relies on, so a view that is out of date makes the write fail.
 
 use super::{Change, Row};
-use crate::blocks::{HireRec, HolderRec, LeaderRec, MachineRec, MachinesRec, MemberRec, TermRec};
+use crate::blocks::{
+    HolderRecord, LeaderRecord, MachineRecord, MachinesRecord, MemberRecord, RentalRecord,
+    TermRecord,
+};
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision};
-use crate::jobs::{JobRec, ProgressRec};
+use crate::jobs::{JobRecord, ProgressRecord};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -18,18 +21,18 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     pub loaded: bool,
-    pub term: (Revision, TermRec),
-    pub leader: Option<(Revision, LeaderRec)>,
+    pub term: (Revision, TermRecord),
+    pub leader: Option<(Revision, LeaderRecord)>,
     pub types: Option<(Revision, Vec<MachineType>)>,
-    pub members: Table<Label, MemberRec>,
-    pub holders: Table<BlockId, HolderRec>,
+    pub members: Table<Label, MemberRecord>,
+    pub holders: Table<BlockId, HolderRecord>,
     /// Each block's machines, in shards.
-    pub machines: Table<(BlockId, u32), Rc<MachinesRec>>,
+    pub machines: Table<(BlockId, u32), Rc<MachinesRecord>>,
     /// Where each machine is recorded.
     pub(crate) home: BTreeMap<MachineId, (BlockId, u32)>,
-    pub jobs: Table<JobId, Rc<JobRec>>,
-    pub pages: Table<(JobId, u32), ProgressRec>,
-    pub hires: Table<String, HireRec>,
+    pub jobs: Table<JobId, Rc<JobRecord>>,
+    pub pages: Table<(JobId, u32), ProgressRecord>,
+    pub rentals: Table<String, RentalRecord>,
     pub sums: Table<Label, Value>,
 }
 
@@ -106,7 +109,7 @@
             }
             ["r", "members", label] => put(&mut self.members, Label::from(*label), value, revision),
             ["r", "sums", label] => put(&mut self.sums, Label::from(*label), value, revision),
-            ["r", "hires", name] => put(&mut self.hires, name.to_string(), value, revision),
+            ["r", "hires", name] => put(&mut self.rentals, name.to_string(), value, revision),
             ["r", "blocks", b, what] => {
                 let Ok(b) = b.parse().map(BlockId) else {
                     return Touched::Other;
@@ -162,31 +165,31 @@
     }
 
     /// A block's shards, in order.
-    pub fn shards(&self, b: BlockId) -> impl Iterator<Item = (u32, Revision, &Rc<MachinesRec>)> {
+    pub fn shards(&self, b: BlockId) -> impl Iterator<Item = (u32, Revision, &Rc<MachinesRecord>)> {
         self.machines
             .range((b, 0)..=(b, u32::MAX))
             .map(|((_, n), (revision, rec))| (*n, *revision, rec))
     }
 
-    pub fn machines_of(&self, b: BlockId) -> impl Iterator<Item = (&MachineId, &MachineRec)> {
+    pub fn machines_of(&self, b: BlockId) -> impl Iterator<Item = (&MachineId, &MachineRecord)> {
         self.shards(b).flat_map(|(_, _, rec)| rec.0.iter())
     }
 
     /// Every recorded machine of every block.
-    pub fn all_machines(&self) -> impl Iterator<Item = (BlockId, &MachineId, &MachineRec)> {
+    pub fn all_machines(&self) -> impl Iterator<Item = (BlockId, &MachineId, &MachineRecord)> {
         let shards = self.machines.iter();
         shards.flat_map(|((b, _), (_, rec))| rec.0.iter().map(move |(id, m)| (*b, id, m)))
     }
 
     /// Where a machine is recorded, and how.
-    pub fn machine(&self, id: &MachineId) -> Option<((BlockId, u32), &MachineRec)> {
+    pub fn machine(&self, id: &MachineId) -> Option<((BlockId, u32), &MachineRecord)> {
         let at = *self.home.get(id)?;
         let (_, rec) = self.machines.get(&at)?;
         Some((at, rec.0.get(id)?))
     }
 
     /// Whether the incarnation that a block names still has its member lease.
-    pub fn holder_alive(&self, rec: &HolderRec) -> bool {
+    pub fn holder_alive(&self, rec: &HolderRecord) -> bool {
         self.members
             .get(&rec.holder)
             .is_some_and(|(revision, _)| *revision == rec.incarnation)
@@ -199,13 +202,13 @@
     }
 
     /// A job's progress, with the revisions of its pages.
-    pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Revision, &ProgressRec)> {
+    pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Revision, &ProgressRecord)> {
         let pages = self.pages.range((id.clone(), 0)..=(id.clone(), u32::MAX));
         pages.map(|((_, page), (revision, rec))| (*page, *revision, rec))
     }
 
     /// Progress of jobs that are over, of no use to anyone: some of it.
-    pub fn litter(&self, most: usize) -> Vec<(JobId, u32)> {
+    pub fn garbage(&self, most: usize) -> Vec<(JobId, u32)> {
         let over = self
             .pages
             .keys()
--- a/src/store/mirror/tests.rs
+++ b/src/store/mirror/tests.rs
@@ -4,8 +4,8 @@
 fn a_machine_that_moves_between_shards_is_found_where_it_is_now() {
     let rec = |ids: &[&str]| {
         let all = ids.iter().map(|id| (*id).into());
-        let blank = |id: MachineId| (id, MachineRec::blank(String::new(), "big", "x", false));
-        serde_json::to_value(MachinesRec(all.map(blank).collect())).expect("a record")
+        let blank = |id: MachineId| (id, MachineRecord::blank(String::new(), "big", "x", false));
+        serde_json::to_value(MachinesRecord(all.map(blank).collect())).expect("a record")
     };
     let mut m = Mirror::default();
     m.apply(
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -44,7 +44,7 @@
     pub fn sums(label: &Label) -> String {
         format!("r/sums/{label}")
     }
-    pub fn hire(name: &str) -> String {
+    pub fn rental(name: &str) -> String {
         format!("r/hires/{name}")
     }
 }
