--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,7 +2,7 @@
 //! that a holder keeps of each of its machines.
 
 use crate::clock::Micros;
-use crate::fairness::{Load, Res};
+use crate::fairness::{Load, Resources};
 use crate::ids::{AttemptId, FencingToken, JobId, MachineId, Revision, TaskId, Term};
 use crate::jobs::{ImageKey, JobDesc};
 use serde::{Deserialize, Serialize};
@@ -37,8 +37,9 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Hand {
-    pub hand: String,
+pub struct TaskReport {
+    #[serde(rename = "hand")]
+    pub task: String,
     #[serde(rename = "try")]
     pub attempt: AttemptId,
     #[serde(rename = "standing")]
@@ -58,31 +59,41 @@
     pub zone: String,
     #[serde(rename = "loaners")]
     pub spot: bool,
-    pub shift: u64,
-    pub tally: u64,
-    pub baton: FencingToken,
+    /// Begins anew each time the worker's lease ends.
+    #[serde(rename = "shift")]
+    pub session: u64,
+    /// Rises with each report of a session.
+    #[serde(rename = "tally")]
+    pub sequence: u64,
+    /// The highest that the worker has seen.
+    #[serde(rename = "baton")]
+    pub token: FencingToken,
     #[serde(rename = "warningS", default)]
     pub warning_s: Option<f64>,
-    pub hands: Vec<Hand>,
+    #[serde(rename = "hands")]
+    pub tasks: Vec<TaskReport>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Launch {
-        hand: String,
+        #[serde(rename = "hand")]
+        task: String,
         #[serde(rename = "try")]
         attempt: AttemptId,
     },
     Halt {
-        hand: String,
+        #[serde(rename = "hand")]
+        task: String,
         #[serde(rename = "try")]
         attempt: AttemptId,
         #[serde(rename = "leewayS")]
         leeway_s: f64,
     },
     Reap {
-        hand: String,
+        #[serde(rename = "hand")]
+        task: String,
         #[serde(rename = "try")]
         attempt: AttemptId,
     },
@@ -91,7 +102,8 @@
 /// The answer to a report that counts.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Orders {
-    pub baton: FencingToken,
+    #[serde(rename = "baton")]
+    pub token: FencingToken,
     pub orders: Vec<Order>,
     /// Not to be sent from then on: our lease may be over.
     #[serde(skip)]
@@ -101,12 +113,14 @@
 /// Commands sent straight to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Direct {
-    pub baton: FencingToken,
-    pub shift: u64,
+    #[serde(rename = "baton")]
+    pub token: FencingToken,
+    #[serde(rename = "shift")]
+    pub session: u64,
     pub orders: Vec<Order>,
 }
 
-pub type Key = (TaskId, AttemptId);
+pub type AttemptKey = (TaskId, AttemptId);
 
 /// An attempt on a machine, until it is surely over.
 #[derive(Debug, Clone)]
@@ -115,7 +129,7 @@
     pub cause: Option<Cause>,
     /// Whose limit it counts against and what it takes; none: of a job that is not
     /// known here, so that it may be any team's and take all of its machine.
-    pub takes: Option<(usize, Res)>,
+    pub takes: Option<(usize, Resources)>,
     /// None: of a job that is not known here.
     pub desc: Option<Rc<JobDesc>>,
     /// When it was decided, or first seen.
@@ -153,8 +167,9 @@
         }
     }
 
-    pub fn request(&self) -> Res {
-        self.takes.map_or(Res::default(), |(_, request)| request)
+    pub fn request(&self) -> Resources {
+        self.takes
+            .map_or(Resources::default(), |(_, request)| request)
     }
 
     pub fn image(&self) -> Option<ImageKey> {
@@ -166,7 +181,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reserved {
     pub job: JobId,
-    pub request: Res,
+    pub request: Resources,
     pub count: u32,
     pub until: Micros,
 }
@@ -174,12 +189,12 @@
 /// What a report changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    Started(Key),
-    Ended(Key, Cause),
+    Started(AttemptKey),
+    Ended(AttemptKey, Cause),
     /// Over without a trace: the session moved on, or it never began.
-    Gone(Key),
+    Gone(AttemptKey),
     /// Shown, but not known here.
-    Strange(Key, Phase, Option<Cause>),
+    Strange(AttemptKey, Phase, Option<Cause>),
 }
 
 /// How far giving a machine up has got. From the first step on it is not used.
@@ -194,7 +209,7 @@
 }
 
 /// So often an order or a token may go unheeded before the machine is suspect.
-const UNHEEDED: u32 = 3;
+const MOST_UNACKNOWLEDGED: u32 = 3;
 const AVOIDED: Micros = Micros::from_millis(20_000);
 
 /// A holder's picture of one machine.
@@ -203,17 +218,17 @@
     pub build: String,
     pub zone: String,
     pub spot: bool,
-    pub capacity: Res,
+    pub capacity: Resources,
     pub addr: String,
     pub term: Term,
     epoch: u64,
     /// Of the newest report that counts; 0: there is none yet.
-    pub shift: u64,
-    tally: u64,
+    pub session: u64,
+    sequence: u64,
     /// Of the last report that did not count, for direct commands until one does.
-    heard_shift: u64,
+    heard_session: u64,
     /// Held by an earlier holder: nothing is known of it until a report has our token.
-    pub unsettled: bool,
+    pub unconfirmed: bool,
     pub added: Micros,
     /// In use before this holder had it, so it has cost its least already.
     pub seasoned: bool,
@@ -223,22 +238,22 @@
     pub last_report: Option<Micros>,
     /// A report arrived that does not show our token yet: it is up, but what it
     /// says may be a late copy.
-    pub knocked: bool,
+    pub reported: bool,
     /// The highest token that a report has shown.
     seen: FencingToken,
     /// Answers in a row after which it did not show our token.
-    unheard: u32,
+    unacknowledged: u32,
     /// A report came that looks older than what is known: a late copy, or a worker
     /// that began anew. Its own answer to a direct command will tell.
-    pub doubt: bool,
+    pub needs_probe: bool,
     /// Direct commands in a row that could not be sent. Its reports do not make up for
     /// them: they may arrive while nothing of ours does.
-    pub unreached: u32,
+    pub unsent_commands: u32,
     /// When a report of it was last answered with a valid token.
     pub last_answer: Micros,
     /// By when its present session had surely begun: its lease counts from there, too.
     session_from: Micros,
-    pub tries: BTreeMap<Key, Attempt>,
+    pub attempts: BTreeMap<AttemptKey, Attempt>,
     pub images: BTreeSet<ImageKey>,
     /// The cloud takes it then.
     pub taken_at: Option<Micros>,
@@ -261,7 +276,7 @@
     /// No direct command before then.
     pub direct_after: Micros,
     /// How often our token was sent to it directly after a take-over.
-    pub introductions: u32,
+    pub token_commands: u32,
     pub idle_since: Micros,
     /// Room kept for jobs that others were stopped for.
     pub reserved: Vec<Reserved>,
@@ -282,7 +297,7 @@
         build: &str,
         zone: &str,
         spot: bool,
-        capacity: Res,
+        capacity: Resources,
         addr: &str,
     ) -> Self {
         Machine {
@@ -293,22 +308,22 @@
             addr: addr.into(),
             term,
             epoch: 0,
-            shift: 0,
-            tally: 0,
-            heard_shift: 0,
-            unsettled: false,
+            session: 0,
+            sequence: 0,
+            heard_session: 0,
+            unconfirmed: false,
             added: now,
             seasoned: false,
             last_heard: None,
             last_report: None,
-            knocked: false,
+            reported: false,
             seen: FencingToken(0),
-            unheard: 0,
-            doubt: false,
-            unreached: 0,
+            unacknowledged: 0,
+            needs_probe: false,
+            unsent_commands: 0,
             last_answer: now,
             session_from: now,
-            tries: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             images: BTreeSet::new(),
             taken_at: None,
             direct_out: false,
@@ -321,7 +336,7 @@
             shard: 0,
             used: false,
             direct_after: Micros::ZERO,
-            introductions: 0,
+            token_commands: 0,
             idle_since: now,
             reserved: Vec::new(),
             held_for: None,
@@ -339,7 +354,7 @@
     /// fresh report.
     pub fn session(&self) -> u64 {
         // Most machines are still in their first.
-        self.shift.max(self.heard_shift).max(1)
+        self.session.max(self.heard_session).max(1)
     }
 
     /// Fences everything that we sent before, delayed `/do` commands included,
@@ -370,20 +385,20 @@
 
     /// Nothing of anyone's is on it or may still arrive there.
     pub fn empty(&self) -> bool {
-        self.tries.is_empty() && self.quiet() && !self.unsettled
+        self.attempts.is_empty() && self.quiet() && !self.unconfirmed
     }
 
     /// Gives up attempts that no report has shown yet.
-    pub fn abandon_launching(&mut self, which: impl Fn(&Key) -> bool) {
+    pub fn abandon_launching(&mut self, which: impl Fn(&AttemptKey) -> bool) {
         if !self
-            .tries
+            .attempts
             .iter()
             .any(|(k, t)| t.phase == Phase::Launching && t.abandoned.is_none() && which(k))
         {
             return;
         }
         let token = self.fence();
-        for (key, t) in &mut self.tries {
+        for (key, t) in &mut self.attempts {
             if t.phase == Phase::Launching && t.abandoned.is_none() && which(key) {
                 t.abandoned = Some(token);
             }
@@ -392,10 +407,10 @@
 
     /// Stops what `which` picks: at once what was not shown yet, with time to
     /// save what was.
-    pub fn stop(&mut self, leeway_s: f64, which: impl Fn(&Key) -> bool) {
+    pub fn stop(&mut self, leeway_s: f64, which: impl Fn(&AttemptKey) -> bool) {
         self.abandon_launching(&which);
         for (_, t) in self
-            .tries
+            .attempts
             .iter_mut()
             .filter(|(k, t)| t.phase != Phase::Exited && which(k))
         {
@@ -406,22 +421,22 @@
     /// Whether this report is newer than what is known. A cut may keep reports
     /// back and deliver them late; their task lists are as old as they are.
     pub fn newer(&self, r: &Report) -> bool {
-        (r.shift, r.tally) > (self.shift, self.tally)
+        (r.session, r.sequence) > (self.session, self.sequence)
     }
 
     /// Whether it shows our term: only then does a report count for anything. What
     /// an earlier holder sent may still have been on its way when an older one was
     /// made, and a copy of an older one may come at any time.
     pub fn shows_term(&self, r: &Report) -> bool {
-        r.baton >= FencingToken::of(self.term, 0)
+        r.token >= FencingToken::of(self.term, 0)
     }
 
     /// A report that does not count: from before our term, or older than another.
     pub fn uncounted(&mut self, r: &Report) {
-        self.knocked = true;
-        self.heard_shift = r.shift;
-        if self.seen > FencingToken(0) && r.baton < self.seen {
-            self.doubt = true;
+        self.reported = true;
+        self.heard_session = r.session;
+        if self.seen > FencingToken(0) && r.token < self.seen {
+            self.needs_probe = true;
         }
     }
 
@@ -430,11 +445,11 @@
     /// so that all it had is over only once it shows a token above.
     pub fn reborn(&mut self, now: Micros, r: &Report) {
         self.session_from = now;
-        self.shift = r.shift;
-        self.tally = r.tally;
-        self.seen = r.baton;
+        self.session = r.session;
+        self.sequence = r.sequence;
+        self.seen = r.token;
         self.images.clear();
-        self.doubt = false;
+        self.needs_probe = false;
         let token = self.fence();
         self.unfenced = Some(token);
     }
@@ -442,28 +457,31 @@
     /// A direct command is about to go out.
     pub fn command_sent(&mut self) {
         self.direct_out = true;
-        self.command_sent_at = (self.shift, self.tally);
+        self.command_sent_at = (self.session, self.sequence);
     }
 
     /// An answer to our direct command was made after we sent it, so it is newer than
     /// all that we knew then, or of a worker that has begun anew.
     pub fn is_reborn(&self, r: &Report) -> bool {
-        self.shift > 0 && (r.shift, r.tally) <= self.command_sent_at
+        self.session > 0 && (r.session, r.sequence) <= self.command_sent_at
     }
 
     /// Reports arrive, but what they show says that our answers do not: nothing more
     /// is started there, and what is open stays open.
     pub fn suspect(&self) -> bool {
-        self.unheard >= UNHEEDED
-            || self.unreached >= UNHEEDED
-            || self.tries.values().any(|t| t.told >= UNHEEDED)
+        self.unacknowledged >= MOST_UNACKNOWLEDGED
+            || self.unsent_commands >= MOST_UNACKNOWLEDGED
+            || self
+                .attempts
+                .values()
+                .any(|t| t.told >= MOST_UNACKNOWLEDGED)
     }
 
     /// An answer with these orders is on its way.
     pub fn answered(&mut self, now: Micros, r: &Report) {
         self.last_answer = now;
-        if r.baton < self.token() {
-            self.unheard += 1;
+        if r.token < self.token() {
+            self.unacknowledged += 1;
         }
     }
 
@@ -474,74 +492,74 @@
         if std::mem::take(&mut self.condemned) {
             self.draining = false;
         }
-        self.knocked = true;
-        self.doubt = self.unreached > 0;
-        self.seen = self.seen.max(r.baton);
-        if r.baton >= self.token() {
-            self.unheard = 0;
+        self.reported = true;
+        self.needs_probe = self.unsent_commands > 0;
+        self.seen = self.seen.max(r.token);
+        if r.token >= self.token() {
+            self.unacknowledged = 0;
         }
         if r.addr != self.addr {
             self.addr.clone_from(&r.addr);
         }
-        let moved_on = self.shift != 0 && r.shift > self.shift;
-        if r.shift != self.shift {
+        let moved_on = self.session != 0 && r.session > self.session;
+        if r.session != self.session {
             // Guards against ending what was started in a session by the age of an
             // answer in an earlier one: a machine whose check-ins do not get through
             // may well carry out direct commands, in session after session.
             self.session_from = now;
         }
-        self.shift = r.shift;
-        self.tally = r.tally;
+        self.session = r.session;
+        self.sequence = r.sequence;
         if moved_on {
             // The session ended: the worker has killed all it had, and drops
             // commands for the old session, however late they come.
             self.unfenced = None;
             self.images.clear();
         }
-        if self.unfenced.is_some_and(|t| r.baton >= t) {
+        if self.unfenced.is_some_and(|t| r.token >= t) {
             self.unfenced = None;
         }
-        self.unsettled = false;
+        self.unconfirmed = false;
         self.taken_at = r.warning_s.map(|w| now + Micros::from_secs(w));
         let mut shown = BTreeSet::new();
-        for hand in &r.hands {
-            let Some(task) = TaskId::parse(&hand.hand) else {
+        for reported in &r.tasks {
+            let Some(task) = TaskId::parse(&reported.task) else {
                 continue;
             };
-            let key = (task, hand.attempt);
+            let key = (task, reported.attempt);
             shown.insert(key.clone());
-            let Some(t) = self.tries.get_mut(&key) else {
-                events.push(Event::Strange(key, hand.phase, hand.cause));
+            let Some(t) = self.attempts.get_mut(&key) else {
+                events.push(Event::Strange(key, reported.phase, reported.cause));
                 continue;
             };
             let before = t.phase;
-            if before != hand.phase {
+            if before != reported.phase {
                 t.told = 0;
             }
-            t.phase = hand.phase;
-            t.cause = hand.cause;
-            if hand.phase == Phase::Running && t.running_since.is_none() {
+            t.phase = reported.phase;
+            t.cause = reported.cause;
+            if reported.phase == Phase::Running && t.running_since.is_none() {
                 t.running_since = Some(now);
                 self.images.extend(t.image());
                 events.push(Event::Started(key.clone()));
             }
-            if t.abandoned.is_some() && hand.phase != Phase::Exited && t.halt.is_none() {
+            if t.abandoned.is_some() && reported.phase != Phase::Exited && t.halt.is_none() {
                 // It began after all, before the fence reached the worker.
                 t.halt = Some(0.0);
             }
-            if hand.phase == Phase::Exited && before != Phase::Exited {
-                events.push(Event::Ended(key, hand.cause.unwrap_or(Cause::Other)));
+            if reported.phase == Phase::Exited && before != Phase::Exited {
+                events.push(Event::Ended(key, reported.cause.unwrap_or(Cause::Other)));
             }
         }
         let quiet = self.quiet();
-        self.tries.retain(|key, t| {
+        self.attempts.retain(|key, t| {
             if shown.contains(key) {
                 return true;
             }
             let over = match t.phase {
                 // Not shown yet: it may still arrive, so it stays ours, and is sent
                 // again, until the session moves on or its fence was seen.
-                Phase::Launching => moved_on || t.abandoned.is_some_and(|a| r.baton >= a),
+                Phase::Launching => moved_on || t.abandoned.is_some_and(|a| r.token >= a),
                 Phase::Exited => true,
                 _ => moved_on || quiet,
             };
@@ -550,7 +568,7 @@
             }
             !over
         });
-        if !self.tries.is_empty() {
+        if !self.attempts.is_empty() {
             self.idle_since = now;
         }
         events
@@ -564,18 +582,21 @@
     }
 
     /// The worker's lease is surely over, or the machine gone: nothing runs there.
-    pub fn over(&mut self) -> Vec<Key> {
-        self.unsettled = false;
+    pub fn over(&mut self) -> Vec<AttemptKey> {
+        self.unconfirmed = false;
         self.unfenced = None;
-        let ended = self.tries.iter().filter(|(_, t)| t.phase != Phase::Exited);
+        let ended = self
+            .attempts
+            .iter()
+            .filter(|(_, t)| t.phase != Phase::Exited);
         let keys = ended.map(|(k, _)| k.clone()).collect();
-        self.tries.clear();
+        self.attempts.clear();
         keys
     }
 
     /// A direct command surely did not go out: launches that nothing else carried are
     /// given up at once, so that the tasks can go elsewhere.
-    pub fn unsent(&mut self) -> Vec<Key> {
+    pub fn unsent(&mut self) -> Vec<AttemptKey> {
         self.direct_out = false;
         let never =
             |t: &Attempt| t.phase == Phase::Launching && t.told == 0 && t.abandoned.is_none();
@@ -583,43 +604,43 @@
         if self.unfenced.is_some() {
             return Vec::new();
         }
-        let keys: Vec<Key> = self
-            .tries
+        let keys: Vec<AttemptKey> = self
+            .attempts
             .iter()
             .filter(|(_, t)| never(t) && t.sent)
             .map(|(k, _)| k.clone())
             .collect();
         for key in &keys {
-            self.tries.remove(key);
+            self.attempts.remove(key);
         }
         keys
     }
 
     /// What the worker should be told now; in an answer or directly.
     pub fn orders(&mut self, in_answer: bool) -> Vec<Order> {
-        if self.unsettled {
+        if self.unconfirmed {
             return Vec::new();
         }
         // After a reap the worker has forgotten the attempt, so a launch that may
         // still arrive would run it once more: reaping waits until none can.
         let may_reap = self.quiet();
         let mut orders = Vec::new();
-        for ((task, attempt), t) in &mut self.tries {
-            let (hand, attempt) = (task.to_string(), *attempt);
+        for ((task, attempt), t) in &mut self.attempts {
+            let (task, attempt) = (task.to_string(), *attempt);
             let before = orders.len();
             match t.phase {
                 Phase::Launching if t.abandoned.is_none() => {
                     t.sent = true;
-                    orders.push(Order::Launch { hand, attempt });
+                    orders.push(Order::Launch { task, attempt });
                 }
                 Phase::Launching => {}
-                Phase::Exited if t.reap && may_reap => orders.push(Order::Reap { hand, attempt }),
+                Phase::Exited if t.reap && may_reap => orders.push(Order::Reap { task, attempt }),
                 Phase::Exited => {}
                 _ => {
                     if let Some(leeway_s) = t.halt {
                         t.halt_sent = true;
                         orders.push(Order::Halt {
-                            hand,
+                            task,
                             attempt,
                             leeway_s,
                         });
@@ -638,10 +659,10 @@
     /// Adds up what attempts take of it, those not yet surely over included.
     pub fn count_load(&self) -> Load {
         let mut load = Load {
-            unknown: self.unsettled,
+            unknown: self.unconfirmed,
             ..Load::default()
         };
-        for t in self.tries.values().filter(|t| t.phase != Phase::Exited) {
+        for t in self.attempts.values().filter(|t| t.phase != Phase::Exited) {
             match t.takes {
                 Some((team, request)) => load.take(team, request),
                 // Guards against a team over its limit: a cancelled job's record is
@@ -659,7 +680,7 @@
             Phase::Exited | Phase::Saving => false,
             _ => t.halt.is_some() && !t.halt_sent,
         };
-        self.doubt || self.tries.values().any(urgent)
+        self.needs_probe || self.attempts.values().any(urgent)
     }
 }
 
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -3,21 +3,21 @@
 
 pub fn report(
     machine: &str,
-    shift: u64,
-    tally: u64,
-    baton: FencingToken,
-    hands: &[(&str, u64, &str, &str)],
+    session: u64,
+    sequence: u64,
+    token: FencingToken,
+    tasks: &[(&str, u64, &str, &str)],
 ) -> Report {
-    let hands: Vec<_> = hands
+    let tasks: Vec<_> = tasks
         .iter()
-        .map(|(hand, attempt, standing, cause)| {
-            serde_json::json!({"hand": hand, "try": attempt, "standing": standing,
+        .map(|(task, attempt, standing, cause)| {
+            serde_json::json!({"hand": task, "try": attempt, "standing": standing,
                 "cause": if cause.is_empty() { serde_json::Value::Null } else { (*cause).into() }})
         })
         .collect();
     serde_json::from_value(serde_json::json!({
         "rig": machine, "addr": "10.1.0.1:9000", "build": "big", "yard": "x", "loaners": false,
-        "shift": shift, "tally": tally, "baton": baton, "warningS": null, "hands": hands
+        "shift": session, "tally": sequence, "baton": token, "warningS": null, "hands": tasks
     }))
     .expect("well formed")
 }
@@ -29,19 +29,19 @@
         "big",
         "x",
         false,
-        Res::new(16.0, 0.0, 64.0),
+        Resources::new(16.0, 0.0, 64.0),
         "",
     )
 }
 
-fn launch(m: &mut Machine, task: &str, attempt: u64) -> Key {
+fn launch(m: &mut Machine, task: &str, attempt: u64) -> AttemptKey {
     let key = (TaskId::parse(task).expect("a task"), AttemptId(attempt));
     let t = Attempt::new(
         Phase::Launching,
         Micros(0),
         Some((0, &Rc::new(desc("j-1", 4)))),
     );
-    m.tries.insert(key.clone(), t);
+    m.attempts.insert(key.clone(), t);
     key
 }
 
@@ -77,7 +77,7 @@
         Micros(1),
         &report("m", 1, 1, old, &[("j-1/0", 7, "exited", "done")]),
     );
-    m.tries.get_mut(&key).expect("kept").reap = true;
+    m.attempts.get_mut(&key).expect("kept").reap = true;
     assert_eq!(
         m.orders(true),
         vec![],
@@ -133,23 +133,23 @@
 #[test]
 fn an_unsettled_machine_gets_no_orders_until_it_has_seen_our_token() {
     let mut m = machine();
-    m.unsettled = true;
+    m.unconfirmed = true;
     launch(&mut m, "j-1/0", 7);
     assert!(!m.shows_term(&report("m", 4, 1, FencingToken::of(Term(2), 5), &[])));
     assert!(m.orders(true).is_empty());
     let r = report("m", 4, 2, FencingToken::of(Term(3), 0), &[]);
     assert!(m.shows_term(&r));
     m.observe(Micros(2), &r);
-    assert!(!m.unsettled);
+    assert!(!m.unconfirmed);
 }
 
 #[test]
 fn a_machine_that_never_heeds_an_answer_is_suspect_until_it_does() {
     let mut m = machine();
     let mut old = report("m", 1, 1, FencingToken(0), &[]);
-    for n in 1..=UNHEEDED {
+    for n in 1..=MOST_UNACKNOWLEDGED {
         assert!(!m.suspect());
-        old.tally = u64::from(n);
+        old.sequence = u64::from(n);
         m.answered(Micros(u64::from(n)), &old);
     }
     assert!(m.suspect(), "it never showed the token");
@@ -178,7 +178,7 @@
             &[("nonsense", 1, "running", "")],
         ),
     );
-    assert!(events.is_empty() && m.tries.is_empty());
+    assert!(events.is_empty() && m.attempts.is_empty());
 }
 
 #[test]
