Split: messages, worker protocol, machine health, candidate machines, renting; moves only

core.rs, workers, holder, placement and the manager lose what has a duty of its own; no behaviour and no assertion changed.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,7 +4,7 @@
 pub mod read_index;
 
 use crate::clock::{Steady, time_of_day};
-use crate::controller::core::{Answer, View};
+use crate::controller::messages::{Answer, View};
 use crate::controller::{Arrived, Cancelled, Question, StatusQuery};
 use crate::ids::{JobId, Revision};
 use crate::jobs::{EndedRecord, JobDesc, JobRecord, Refusal, Standing};
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -2,6 +2,7 @@
 //! decided about them. Everything that must be decided together (a team's
 //! limit, zones, one machine per task) is decided here, in one place.
 
+mod health;
 mod records;
 mod reports;
 mod starts;
@@ -134,7 +135,6 @@
     unsure: bool,
 }
 
-const NEVER_HEARD: Micros = Micros::from_millis(180_000);
 /// What does not depend on messages is looked at this often.
 const LOOK: Micros = Micros::from_millis(500);
 /// Ticks that come later than this say that we have too little processor time: reports
@@ -440,31 +440,6 @@
         }
     }
 
-    fn reports_of(&self, n: f64) -> Micros {
-        Micros::from_secs(self.settings.platform.workers.report_s * n)
-    }
-
-    /// How long after its last report a machine may still be sent tasks.
-    fn heard_within(&self) -> Micros {
-        self.reports_of(2.2)
-    }
-
-    /// After this silence a machine is returned.
-    fn silence(&self) -> Micros {
-        self.policy.silent.max(self.reports_of(2.2))
-    }
-
-    /// Machines that are to be returned get nothing more to do.
-    pub fn condemn(&mut self, dead: &[MachineId]) {
-        for id in dead {
-            // What was never heard may still be booting.
-            if let Some(m) = self.machines.get_mut(id).filter(|m| m.last_heard.is_some()) {
-                m.condemned |= !m.draining;
-                m.draining = true;
-            }
-        }
-    }
-
     /// What time alone changes.
     pub fn tick(&mut self, now: Micros, day: Micros, fleet: Resources) {
         if now.since(self.last_tick) > LATE {
@@ -541,60 +516,6 @@
         self.pass_pending |= self.jobs.values().any(|j| !j.waiting.is_empty());
     }
 
-    /// Nothing of the block is heard any more: it is we who are cut off.
-    pub fn deaf(&self, now: Micros) -> bool {
-        let known = self
-            .machines
-            .values()
-            .filter(|m| m.last_heard.is_some())
-            .count();
-        // Guards against taking a standstill of our own for a cut: hear first.
-        let since = self.last_heard.max(self.listening);
-        known >= 2 && now.since(since) > Micros::from_millis(8_000).max(self.reports_of(1.5))
-    }
-
-    /// Machines that should be returned: silent ones, suspects that do not hear us,
-    /// and drained ones that failed.
-    pub fn dead(&self, now: Micros) -> Vec<MachineId> {
-        // If none is heard, the fault is ours and not theirs.
-        if self.machines.len() > 1 && now.since(self.last_report) > Micros::from_millis(4_000) {
-            return Vec::new();
-        }
-        // Guards against a panic after a standstill of our own: each machine has its
-        // full time to be heard from then on.
-        let listening = self.listening;
-        let (silence, unconfirmed) = (
-            self.silence(),
-            Micros::from_millis(6_000).max(self.reports_of(1.6)),
-        );
-        let silent = |m: &Machine| match m.last_heard {
-            Some(h) => now.since(h.max(listening).max(m.added)) > silence,
-            // Old jobs wait for it, and a live one answers our direct command at once.
-            None if m.unconfirmed => now.since(m.added.max(listening)) > unconfirmed,
-            None => now.since(m.added) > NEVER_HEARD,
-        };
-        // Alive, but its reports reach nobody: it keeps what it has until its lease ends,
-        // and is replaced as soon as it has nothing, or nothing to come of it.
-        let lease = Micros::from_secs(self.settings.platform.workers.lease_s);
-        let idle = |m: &Machine| m.attempts.values().all(|t| t.phase == Phase::Exited);
-        let mute = |m: &Machine| {
-            let since = m.last_report.unwrap_or(m.added).max(m.added).max(listening);
-            m.last_heard.is_some()
-                && now.since(since) > silence
-                && (idle(m) && m.quiet() || now.since(m.lease_from()) > lease)
-        };
-        let failed = |m: &Machine| m.draining && idle(m);
-        // Should so many be silent at once, the first to go show whether it is them.
-        let most = 2 + self.machines.len() / 10;
-        // And if so many do not hear us, it is we who are not heard.
-        let suspects = self.machines.values().filter(|m| m.suspect()).count() <= most;
-        let dead = self
-            .machines
-            .iter()
-            .filter(|(_, m)| silent(m) || mute(m) || suspects && m.suspect() || failed(m));
-        dead.map(|(id, _)| id.clone()).take(most).collect()
-    }
-
     /// The room that waiting work lacks.
     pub fn needs(&self, now: Micros, day: Micros, fleet: Resources) -> Vec<Need> {
         let mut coming: Vec<Coming<'_>> = Vec::new();
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -252,7 +252,7 @@
         // Guards against a block stuck with a holder that hears neither its machines
         // nor any peer: that others are in, the store says, too.
         let alone = self.mirror.members.len() < 2;
-        if !alone && self.held.values().any(|h| h.deaf(now)) {
+        if !alone && self.held.values().any(|h| h.partitioned(now)) {
             if now >= self.partitioned_until {
                 tracing::info!("none of our machines is heard: handing our blocks back");
             }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod core;
 pub mod http;
+pub mod messages;
 #[cfg(test)]
 mod tests;
 
@@ -17,8 +18,9 @@
 use crate::store::{Reply, Request, Urgency};
 use crate::workers::{Direct, Report};
 use bytes::Bytes;
-use core::{Answer, Core, DirectAnswer, Effect, Input, View};
+use core::Core;
 use http::{Failure, Pool, Pools};
+use messages::{Answer, DirectAnswer, Effect, Input, View};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -5,7 +5,7 @@
 use super::started;
 use super::world::{World, secs};
 use crate::api::read_index::Found;
-use crate::controller::core::Answer;
+use crate::controller::messages::Answer;
 use crate::ids::FencingToken;
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
--- a/src/controller/tests/fleet.rs
+++ b/src/controller/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::started;
 use super::world::{World, secs};
-use crate::controller::core::Input;
+use crate::controller::messages::Input;
 use crate::jobs::tests::desc;
 
 #[test]
@@ -64,7 +64,7 @@
     // Its clock has moved, and it knows of nothing yet: it answers no worker.
     let report = w.workers[0].report();
     let answer = w.feed(before, Input::CheckIn { report, ticket: 1 });
-    assert_eq!(answer, Some(super::super::core::Answer::NotNow));
+    assert_eq!(answer, Some(super::super::messages::Answer::NotNow));
     let words = w.done_directs.len();
     w.feed(before, Input::Tick);
     assert_eq!(w.done_directs.len(), words, "nor does it speak to any");
--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -5,7 +5,7 @@
 use super::started;
 use super::world::{Node, World, secs};
 use crate::blocks::MachinesRecord;
-use crate::controller::core::{Answer, Input};
+use crate::controller::messages::{Answer, Input};
 use crate::ids::{MachineId, Revision};
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -7,7 +7,7 @@
 mod size;
 mod world;
 
-use super::core::{Answer, Input};
+use super::messages::{Answer, Input};
 use crate::fleet::MachineType;
 use crate::ids::{AttemptId, MachineId};
 use crate::jobs::Standing;
--- a/src/controller/tests/pairs.rs
+++ b/src/controller/tests/pairs.rs
@@ -8,7 +8,7 @@
 use super::world::{World, secs};
 use crate::api::read_index::Found;
 use crate::clock::Micros;
-use crate::controller::core::Input;
+use crate::controller::messages::Input;
 use crate::ids::{JobId, Revision};
 use crate::jobs::Standing;
 use crate::jobs::tests::desc;
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -1,6 +1,7 @@
 //! A scripted store, cloud and workers around the cores, under a fake clock.
 
-use super::super::core::{Answer, Core, DirectAnswer, Effect, Input, StoreOperation, View};
+use super::super::core::Core;
+use super::super::messages::{Answer, DirectAnswer, Effect, Input, StoreOperation, View};
 use crate::api::read_index::Found;
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, CloudStanding, Listed};
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -1,6 +1,8 @@
 //! The leader's dealings with the cloud: what to rent, what to return, and
 //! which block each machine goes to.
 
+mod renting;
+
 use super::shards::{Draft, Spread};
 use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
 use crate::blocks::leader::take_terms;
@@ -9,7 +11,6 @@
 use crate::fairness::Resources;
 use crate::ids::{BlockId, MachineId, Revision};
 use crate::mesh::BlockState;
-use crate::placement::Need;
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::mirror::Mirror;
@@ -112,18 +113,7 @@
 const CREDIT: Micros = Micros::from_millis(3_000);
 const STEP_EVERY: Micros = Micros::from_millis(150);
 const SCAN_EVERY: Micros = Micros::from_millis(800);
-const MOST_RENTALS_OUT: usize = 6;
-/// A large machine must be this much cheaper per task to be rented for small
-/// ones, while large ones lack room.
-const SCARCE: f64 = 1.5;
-/// So much dearer does a zone seem that has all machines of a type and kind: as
-/// many times dearer as there are machines, it once made spot machines seem dearer
-/// than ordinary ones in large fleets.
-const SPREAD: f64 = 0.3;
-const LEAST_SPREAD: usize = 30;
-const SHAPE_KEPT: Micros = Micros::from_millis(180_000);
-/// The cloud takes no more in one request.
-const MOST_PER_RENTAL: u32 = 50;
+
 /// So many lists without a machine that was listed before.
 const GONE_AFTER: u32 = 2;
 const MOST_RETURNED: usize = 100;
@@ -424,210 +414,6 @@
         Some(Effect::Txn(Write::Machines { settled }, conds, ops))
     }
 
-    fn ask_rentals(&mut self, now: Micros, mirror: &Mirror, leader: &Cond, out: &mut Vec<Effect>) {
-        for (name, (rental, state)) in &mut self.rentals {
-            match state {
-                RentalState::Ask(at) if now >= *at => {
-                    out.push(Effect::Cloud(CloudRequest::Rent(
-                        name.clone(),
-                        rental.clone(),
-                    )));
-                    *state = RentalState::StatusQuery;
-                }
-                RentalState::Refused => {
-                    *state = RentalState::Recording;
-                    // Only if it is recorded; else there is nothing to drop.
-                    if let Some((revision, _)) = mirror.rentals.get(name) {
-                        let key = keys::rental(name);
-                        let conds = vec![leader.clone(), cond(key.clone(), *revision)];
-                        out.push(Effect::Txn(
-                            Write::Drop { name: name.clone() },
-                            conds,
-                            vec![store::delete(key)],
-                        ));
-                    } else {
-                        *state = RentalState::Refused;
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn rent(
-        &mut self,
-        now: Micros,
-        mirror: &Mirror,
-        leader: &Cond,
-        types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockState>,
-        out: &mut Vec<Effect>,
-    ) {
-        self.credits.retain(|_, c| c.until > now);
-        self.shapes.retain(|(_, at)| now.since(*at) < SHAPE_KEPT);
-        for need in news.values().flat_map(|n| &n.needs) {
-            match self.shapes.iter_mut().find(|(s, _)| *s == need.request) {
-                Some((_, at)) => *at = now,
-                None => self.shapes.push((need.request, now)),
-            }
-        }
-        if self.list.is_empty() && self.listed_at == now {
-            return;
-        }
-        let out_now = self
-            .rentals
-            .values()
-            .filter(|(_, h)| !matches!(h, RentalState::Refused))
-            .count();
-        let mut may = MOST_RENTALS_OUT.saturating_sub(out_now);
-        if may == 0 || news.values().all(|n| n.needs.is_empty()) {
-            return;
-        }
-        let mut have: BTreeMap<(&str, &str, bool), usize> = BTreeMap::new();
-        for (_, _, m) in mirror.all_machines() {
-            *have.entry((&m.build, &m.zone, m.spot)).or_default() += 1;
-            // Under the empty zone: in all of them.
-            *have.entry((&m.build, "", m.spot)).or_default() += 1;
-        }
-        for (b, n) in news {
-            if now.since(n.at) > Micros::from_millis(4_000) {
-                continue;
-            }
-            // What is on its way serves the needs in their order; so does what is
-            // left of a machine that is rented for one of them.
-            let on_the_way = self.credits.values().filter(|c| c.block == *b);
-            let mut rooms: Vec<Resources> = on_the_way
-                .flat_map(|c| std::iter::repeat_n(c.capacity, c.count as usize))
-                .collect();
-            for need in &n.needs {
-                let mut count = need.count;
-                for free in &mut rooms {
-                    let n = need.request.times_in(free).min(count);
-                    *free -= need.request.scale(f64::from(n));
-                    count -= n;
-                }
-                if count == 0 || may == 0 {
-                    continue;
-                }
-                let Some((t, zone, spot)) = self.cheapest(now, &have, types, need) else {
-                    continue;
-                };
-                if !spot {
-                    // Ordinary machines cost several times as much: work that is soon
-                    // over by itself is worth fewer of them.
-                    let part = |h: f64| (need.estimate_s / h).min(1.0);
-                    let horizon = self.horizon.as_secs();
-                    count = (f64::from(count) * part(3.0 * horizon) / part(horizon)).round() as u32;
-                }
-                let per = need.request.times_in(&t.capacity()).max(1);
-                let machines = count.div_ceil(per).min(MOST_PER_RENTAL);
-                if machines == 0 {
-                    continue;
-                }
-                may -= 1;
-                for i in 0..machines {
-                    let used = (count - (i * per).min(count)).min(per);
-                    rooms.push(t.capacity() - need.request.scale(f64::from(used)));
-                }
-                let rental = RentalRecord {
-                    build: t.name.clone(),
-                    zone,
-                    spot,
-                    count: machines,
-                    block: *b,
-                };
-                out.push(self.record_rental(now, leader, rental, t.capacity()));
-            }
-        }
-    }
-
-    /// A rental is recorded before the cloud is asked.
-    fn record_rental(
-        &mut self,
-        now: Micros,
-        leader: &Cond,
-        rental: RentalRecord,
-        capacity: Resources,
-    ) -> Effect {
-        self.counter += 1;
-        // The leadership's revision is never reused, so neither is the name.
-        let name = format!("r-{}-{}", self.leader_revision, self.counter);
-        tracing::info!(%name, ?rental, "renting");
-        let until = now + Micros::from_millis(8_000);
-        self.credits.insert(
-            name.clone(),
-            Credit {
-                block: rental.block,
-                until,
-                capacity,
-                count: rental.count,
-            },
-        );
-        let key = keys::rental(&name);
-        let conds = vec![leader.clone(), cond(key.clone(), Revision(0))];
-        let ops = vec![store::set(key, &rental)];
-        self.rentals
-            .insert(name.clone(), (rental.clone(), RentalState::Recording));
-        Effect::Txn(Write::RentalState { name, rental }, conds, ops)
-    }
-
-    /// Whether work that fits no smaller type was short of room lately: there are
-    /// only so many large machines, and small tasks have a choice.
-    fn wanted_by_larger(&self, t: &MachineType, types: &[MachineType], need: &Need) -> bool {
-        let fitting = types.iter().filter(|t| need.request.fits_in(&t.capacity()));
-        let Some(least) = fitting.min_by(|a, b| a.cores.total_cmp(&b.cores)) else {
-            return false;
-        };
-        let (least, this) = (least.capacity(), t.capacity());
-        self.shapes
-            .iter()
-            .any(|(shape, _)| !shape.fits_in(&least) && shape.fits_in(&this))
-    }
-
-    /// The cheapest offer per task that was not refused lately; among equals the
-    /// one that we have least of, so that one wave does not take all.
-    fn cheapest(
-        &self,
-        now: Micros,
-        have: &BTreeMap<(&str, &str, bool), usize>,
-        types: &[MachineType],
-        need: &Need,
-    ) -> Option<(MachineType, String, bool)> {
-        let mut best: Option<(f64, MachineType, String, bool)> = None;
-        for t in types {
-            let per = need.request.times_in(&t.capacity());
-            for zone in t.zones.iter().filter(|_| per > 0) {
-                for spot in [true, false] {
-                    let offer = (t.name.clone(), zone.clone(), spot);
-                    let open = self.backoff.get(&offer).is_none_or(|b| now >= b.until);
-                    let asked = self.rentals.values().any(|(h, s)| {
-                        h.build == t.name
-                            && h.zone == *zone
-                            && h.spot == spot
-                            && !matches!(s, RentalState::Refused)
-                    });
-                    if !open || asked || !need.fits(&t.name, zone, spot, &t.capacity()) {
-                        continue;
-                    }
-                    let count = |zone| have.get(&(t.name.as_str(), zone, spot)).copied();
-                    let all = count("").unwrap_or(0).max(LEAST_SPREAD);
-                    let part = count(zone.as_str()).unwrap_or(0) as f64 / all as f64;
-                    let hourly = if spot { t.spot_price } else { t.price };
-                    let scarce = if self.wanted_by_larger(t, types, need) {
-                        SCARCE
-                    } else {
-                        1.0
-                    };
-                    let price = hourly / f64::from(per) * scarce * (1.0 + SPREAD * part);
-                    if best.as_ref().is_none_or(|(p, ..)| price < *p) {
-                        best = Some((price, t.clone(), zone.clone(), spot));
-                    }
-                }
-            }
-        }
-        best.map(|(_, t, z, s)| (t, z, s))
-    }
-
     pub fn cloud(&mut self, now: Micros, request: CloudRequest, reply: CloudReply) {
         match (request, reply) {
             (CloudRequest::List, reply) => {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,21 +5,22 @@
 //! is compared with the most room of each kind of machine before any of them is
 //! looked at, and room that gets free on one machine is refilled alone.
 
+mod candidates;
 mod constrained;
 mod needs;
 mod preempt;
 
+pub use candidates::CandidateMachines;
 pub use constrained::ConstrainedDemand;
 pub use needs::{Coming, Need, needs};
 pub use preempt::{Preemption, Stop, preempt};
 
 use crate::clock::Micros;
-use crate::fairness::{Load, Resources, Weights, s};
+use crate::fairness::{Resources, Weights, s};
 use crate::ids::{JobId, MachineId, Term};
-use crate::jobs::{ImageKey, Job, JobDesc};
+use crate::jobs::{Job, JobDesc};
 use crate::settings::Settings;
 use crate::workers::{Attempt, Leaving, Machine, Phase};
-use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
@@ -171,195 +172,6 @@
     queues.into_iter().map(ids).collect()
 }
 
-struct CandidateMachine<'a> {
-    id: &'a MachineId,
-    machine: &'a Machine,
-    free: Resources,
-    load: Cow<'a, Load>,
-    /// Images that come with what was placed in this pass.
-    images: Vec<ImageKey>,
-    held_for: Option<&'a JobId>,
-}
-
-impl<'a> CandidateMachine<'a> {
-    fn new(id: &'a MachineId, machine: &'a Machine) -> Self {
-        CandidateMachine {
-            id,
-            machine,
-            free: machine.capacity - machine.load.summed,
-            load: Cow::Borrowed(&machine.load),
-            images: Vec::new(),
-            held_for: None,
-        }
-    }
-
-    /// What is free for a job, without what others were stopped for.
-    fn free_for(&self, id: &JobId, now: Micros) -> Resources {
-        let mut free = self.free;
-        for r in self
-            .machine
-            .reserved
-            .iter()
-            .filter(|r| r.job != *id && r.until > now)
-        {
-            free -= r.request.scale(f64::from(r.count));
-        }
-        free
-    }
-
-    fn open_to(&self, id: &JobId) -> bool {
-        self.held_for.is_none_or(|h| h == id)
-    }
-}
-
-/// Machines alike in type, zone and kind.
-struct Kind<'a> {
-    build: &'a str,
-    zone: &'a str,
-    spot: bool,
-    /// The most that any of them has free; less may be left by now.
-    most: Resources,
-    rooms: Vec<usize>,
-}
-
-/// The machines that a pass may use.
-pub struct CandidateMachines<'a> {
-    rooms: Vec<CandidateMachine<'a>>,
-    kinds: Vec<Kind<'a>>,
-    /// The most that any machine has free.
-    most: Resources,
-    /// Room is held only by passes that see the whole block.
-    whole: bool,
-    /// Machines compared with a class so far: what a pass costs.
-    pub machines_compared: usize,
-}
-
-impl<'a> CandidateMachines<'a> {
-    /// All machines of the block that can be used now.
-    pub fn whole(scene: &SchedulingSnapshot<'a>) -> Self {
-        let usable = |m: &&Machine| usable(m, scene.now, scene.heard_within);
-        let rooms = scene.machines.iter().filter(|(_, m)| usable(m));
-        let mut floor = CandidateMachines {
-            rooms: rooms.map(|(id, m)| CandidateMachine::new(id, m)).collect(),
-            kinds: Vec::new(),
-            most: Resources::default(),
-            whole: true,
-            machines_compared: 0,
-        };
-        for (i, r) in floor.rooms.iter().enumerate() {
-            let m = r.machine;
-            let same =
-                |k: &&mut Kind<'_>| k.build == m.build && k.zone == m.zone && k.spot == m.spot;
-            let kind = match floor.kinds.iter_mut().find(same) {
-                Some(kind) => kind,
-                None => {
-                    floor.kinds.push(Kind {
-                        build: &m.build,
-                        zone: &m.zone,
-                        spot: m.spot,
-                        most: r.free,
-                        rooms: Vec::new(),
-                    });
-                    let last = floor.kinds.len() - 1;
-                    &mut floor.kinds[last]
-                }
-            };
-            kind.rooms.push(i);
-            kind.most = kind.most.most(r.free);
-        }
-        floor
-    }
-
-    pub fn len(&self) -> usize {
-        self.rooms.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.rooms.is_empty()
-    }
-
-    /// One machine, on which room got free.
-    pub fn one(scene: &SchedulingSnapshot<'a>, id: &'a MachineId) -> Option<Self> {
-        let m = scene.machines.get(id)?;
-        if !usable(m, scene.now, scene.heard_within) {
-            return None;
-        }
-        let mut room = CandidateMachine::new(id, m);
-        // Held room stays held while the job that it is for still waits.
-        let waits = |j: &&JobId| scene.jobs.get(*j).is_some_and(|j| !j.waiting.is_empty());
-        room.held_for = m.held_for.as_ref().filter(waits);
-        let kind = Kind {
-            build: &m.build,
-            zone: &m.zone,
-            spot: m.spot,
-            most: room.free,
-            rooms: vec![0],
-        };
-        Some(CandidateMachines {
-            most: room.free,
-            rooms: vec![room],
-            kinds: vec![kind],
-            whole: false,
-            machines_compared: 0,
-        })
-    }
-
-    /// The machines where a task fits now, the best one last.
-    fn candidates(&mut self, scene: &SchedulingSnapshot<'_>, id: &JobId, job: &Job) -> Vec<usize> {
-        let d = &*job.desc;
-        let (request, image) = (d.request(), d.image_key());
-        let leaves = scene.constrained.leaves(job, scene.day);
-        let mut found: Vec<(f64, usize)> = Vec::new();
-        for kind in &self.kinds {
-            if !request.fits_in(&kind.most)
-                || !d.allows(kind.build, kind.zone, kind.spot)
-                || leaves.contains(&kind.build)
-            {
-                continue;
-            }
-            self.machines_compared += kind.rooms.len();
-            for &i in &kind.rooms {
-                let r = &self.rooms[i];
-                // A job that failed on a machine tries others first.
-                if r.open_to(id)
-                    && request.fits_in(&r.free)
-                    && request.fits_in(&r.free_for(id, scene.now))
-                    && !r.machine.avoided_by(id, scene.now)
-                {
-                    found.push((worth(r, d, image), i));
-                }
-            }
-        }
-        found.sort_by(|a, b| a.0.total_cmp(&b.0));
-        found.into_iter().map(|(_, i)| i).collect()
-    }
-
-    /// A head job that fits nowhere holds freed room on the machines where it will
-    /// fit soonest, or small tasks would always take it.
-    fn hold(&mut self, id: &'a JobId, d: &JobDesc, waiting: u32, zones: &BTreeMap<&str, u32>) {
-        let request = d.request();
-        let most = (waiting as usize).min(1 + self.rooms.len() / HELD_PART);
-        let mut found: Vec<(f64, usize)> = Vec::new();
-        self.machines_compared += self.rooms.len();
-        for (i, r) in self.rooms.iter().enumerate() {
-            let m = r.machine;
-            if request.fits_in(&m.capacity)
-                && d.allows(&m.build, &m.zone, m.spot)
-                && zone_allowed(d, zones, &m.zone)
-            {
-                found.push((missing(r, &request), i));
-            }
-        }
-        found.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, i) in found.into_iter().take(most) {
-            self.rooms[i].held_for = Some(id);
-        }
-    }
-}
-
-/// At most one in so many machines is held for a head job.
-const HELD_PART: usize = 12;
-
 /// What a pass has decided.
 #[derive(Debug, Default)]
 pub struct Placed {
@@ -516,34 +328,6 @@
     None
 }
 
-/// How good a place is: small tasks go where large ones can't, images are not
-/// fetched without need, and where one must be, sooner rather than later.
-fn worth(r: &CandidateMachine<'_>, d: &JobDesc, image: ImageKey) -> f64 {
-    let mut worth = d.request().share_of(&r.free);
-    if r.machine.images.contains(&image) || r.images.contains(&image) {
-        worth += 2.0;
-    } else {
-        worth -= 0.1 * (d.image_gb / r.machine.fetch.max(0.01)).min(10.0);
-    }
-    if r.machine.spot {
-        worth += SPOT_FIRST;
-    }
-    if r.machine.reserved.iter().any(|x| x.job == d.id) {
-        worth += 4.0;
-    }
-    worth
-}
-
-/// Spot machines are filled first, so that the dear ones get idle and are returned.
-const SPOT_FIRST: f64 = 1.2;
-
-fn missing(r: &CandidateMachine<'_>, request: &Resources) -> f64 {
-    let lacking = *request - r.free;
-    lacking
-        .most(Resources::default())
-        .share_of(&r.machine.capacity)
-}
-
 /// How many of a job's tasks are, or may be, in each zone.
 fn zones_of<'a>(job: &Job, machines: &'a BTreeMap<MachineId, Machine>) -> BTreeMap<&'a str, u32> {
     let mut zones = BTreeMap::new();
