--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -31,10 +31,15 @@
 /// Where the users' and workers' side learns from and speaks to.
 #[derive(Clone)]
 pub struct Ports {
+    /// What the core has published.
     pub view: watch::Receiver<Arc<View>>,
+    /// Requests to the state service.
     pub questions: mpsc::Sender<Question>,
+    /// Workers' reports.
     pub reports: mpsc::Sender<Arrived>,
+    /// Questions how a job stands.
     pub asks: mpsc::Sender<StatusQuery>,
+    /// Cancellations that the store has confirmed.
     pub cancels: mpsc::Sender<Cancelled>,
 }
 
--- a/src/api/read_index.rs
+++ b/src/api/read_index.rs
@@ -18,14 +18,22 @@
 /// How a job stands.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Found {
+    /// It is not over.
     Live {
+        /// Of its record.
         revision: Revision,
+        /// Whether any task runs.
         standing: Standing,
+        /// How many tasks it has.
         tasks: u32,
+        /// What each of them takes.
         footprint: Footprint,
+        /// How many are done.
         done: u32,
+        /// How many run.
         running: u32,
     },
+    /// It is over.
     Ended(EndedRecord),
     /// No such job.
     Nothing,
@@ -33,9 +41,12 @@
     Unreadable,
 }
 
+/// What the index wants done.
 #[derive(Debug, PartialEq)]
 pub enum Effect {
+    /// Answer the question of this ticket.
     Found(u64, Found),
+    /// Read the record of an ended job.
     ReadEnded(JobId),
 }
 
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -30,37 +30,51 @@
 pub enum Write {
     /// Jobs that are over.
     Ends {
+        /// The jobs.
         ids: Vec<JobId>,
+        /// Attempts to be reaped once it is stored.
         reap: Vec<(MachineId, AttemptKey)>,
     },
     /// Pages of jobs' progress.
     Progress {
+        /// The jobs, and which of their pages.
         jobs: Vec<(JobId, Vec<u32>)>,
+        /// Attempts to be reaped once it is stored.
         reap: Vec<(MachineId, AttemptKey)>,
     },
+    /// Machines that are given up.
     GiveUp(Vec<MachineId>),
     /// Machines that are used from now on.
     Open(Vec<MachineId>),
 }
 
+/// What a holder wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
+    /// Write to the store.
     Txn(Write, Vec<Cond>, Vec<Op>),
+    /// Send a direct command to this address.
     Do(MachineId, String, Direct),
     /// How did this job end, and what did it take?
     ReadEnded(JobId),
 }
 
+/// A block in the hands of this controller.
 pub struct Holder {
+    /// Which block.
     pub block: BlockId,
+    /// The term of its grant.
     pub term: Term,
     revision: Revision,
     me: Label,
     settings: Rc<Settings>,
     policy: Rc<Policy>,
     teams: Vec<usize>,
+    /// Since when it is held.
     pub granted: Micros,
+    /// The block's machines.
     pub machines: BTreeMap<MachineId, Machine>,
+    /// The jobs of the block's teams.
     pub jobs: BTreeMap<JobId, Job>,
     /// The teams' sums over the machines' loads, changed with each of them.
     weights: Weights,
@@ -143,6 +157,7 @@
 const LATE: Micros = Micros::from_millis(400);
 
 impl Holder {
+    /// A block that has just been granted, still empty.
     pub fn new(
         block: BlockId,
         rec: &HolderRecord,
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -110,6 +110,7 @@
         (!jobs.is_empty()).then_some(Effect::Txn(Write::Progress { jobs, reap }, conds, ops))
     }
 
+    /// Takes in the store's answer to a write.
     pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
         match write {
             Write::Ends { ids, reap } => {
@@ -357,6 +358,7 @@
         self.resigning.is_some()
     }
 
+    /// Takes in the store's answer to a hand-back.
     pub fn resigned(&mut self, reply: &Reply) {
         let Some(r) = &mut self.resigning else { return };
         match reply {
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -109,6 +109,7 @@
 /// How a member that could lead stands with the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
+    /// It hears another member.
     Heard,
     /// It hears no other member, but holds a block.
     IsolatedHolder,
--- a/src/blocks/lease.rs
+++ b/src/blocks/lease.rs
@@ -18,6 +18,7 @@
 const AGAIN: Micros = Micros::from_millis(300);
 
 impl Lease {
+    /// A lease of this length, not asked for yet.
     pub fn new(life: Micros) -> Self {
         Lease {
             life,
@@ -40,6 +41,7 @@
         })
     }
 
+    /// Takes in the store's answer.
     pub fn reply(&mut self, now: Micros, reply: &Reply) {
         let sent = self.out.take().unwrap_or(now);
         self.not_before = now + AGAIN;
--- a/src/blocks/member.rs
+++ b/src/blocks/member.rs
@@ -22,6 +22,7 @@
     },
 }
 
+/// This controller's membership.
 #[derive(Debug)]
 pub struct Member {
     label: Label,
@@ -37,6 +38,7 @@
 const AGAIN: Micros = Micros::from_millis(300);
 
 impl Member {
+    /// Not a member yet. `act_for` is how long it may act after a renewal or a reading.
     pub fn new(label: Label, addr: String, lease: Micros, act_for: Micros) -> Self {
         Member {
             label,
@@ -81,6 +83,7 @@
         Some(request)
     }
 
+    /// Takes in the store's answer.
     pub fn reply(&mut self, now: Micros, reply: &Reply) {
         let sent = self.out.take().unwrap_or(now);
         self.not_before = now;
@@ -132,6 +135,7 @@
         };
     }
 
+    /// What names this incarnation, while it is a member.
     pub fn incarnation(&self) -> Option<Revision> {
         match self.state {
             State::In { incarnation, .. } => Some(incarnation),
@@ -139,6 +143,7 @@
         }
     }
 
+    /// The lease that its key is attached to.
     pub fn lease_id(&self) -> Option<LeaseId> {
         match self.state {
             State::In { lease_id, .. } => Some(lease_id),
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -12,6 +12,7 @@
 /// The last term given out; every grant takes the next.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct TermRecord {
+    /// The last term given out.
     pub last: Term,
 }
 
@@ -19,13 +20,17 @@
 /// once per incarnation, so its revision names the incarnation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MemberRecord {
+    /// Where it listens for its peers.
     pub addr: String,
+    /// The lease that its key is attached to.
     #[serde(rename = "tenure")]
     pub lease_id: LeaseId,
 }
 
+/// Who leads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
+    /// The leader's label.
     pub holder: Label,
     /// Of the holder, by its member key's revision: names given out under one
     /// leadership are never used by the next, even of the same controller.
@@ -35,10 +40,13 @@
 /// Who holds a block. Valid while that incarnation's member lease lives.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HolderRecord {
+    /// The holder's label.
     pub holder: Label,
     /// Revision 0: handed back, nobody holds it.
     pub incarnation: Revision,
+    /// The term of the grant.
     pub term: Term,
+    /// The teams whose jobs belong to the block.
     pub teams: Vec<String>,
 }
 
@@ -46,19 +54,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Freed {
+    /// To another block.
     Move,
+    /// Back to the cloud.
     Return,
 }
 
+/// A machine of a block.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
     /// Learnt from its reports, and recorded when it is first used.
     #[serde(rename = "a", default, skip_serializing_if = "String::is_empty")]
     pub addr: String,
+    /// The machine's type.
     #[serde(rename = "b")]
     pub build: String,
+    /// The machine's zone.
     #[serde(rename = "z")]
     pub zone: String,
+    /// Whether the cloud may take it back.
     #[serde(rename = "s")]
     pub spot: bool,
     /// The machine's own term; the block's counts if that is higher.
@@ -68,6 +82,7 @@
     /// machine without it is blank, and need not wait for its report.
     #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
     pub used: bool,
+    /// Given up by its holder, and what for.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub freed: Option<Freed>,
 }
@@ -92,6 +107,7 @@
     }
 }
 
+/// A shard of a block's machines.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MachinesRecord(pub BTreeMap<MachineId, MachineRecord>);
@@ -100,6 +116,7 @@
 const SHARD_BYTES: usize = 8 * 1024;
 
 impl MachinesRecord {
+    /// About how long it is as JSON.
     pub fn size(&self) -> usize {
         self.0.values().map(MachineRecord::size).sum()
     }
@@ -114,9 +131,14 @@
 /// repeats it under the same name instead of renting again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RentalRecord {
+    /// The type of the machines.
     pub build: String,
+    /// Their zone.
     pub zone: String,
+    /// Whether the cloud may take them back.
     pub spot: bool,
+    /// How many.
     pub count: u32,
+    /// The block that they are for.
     pub block: BlockId,
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,8 +10,10 @@
 pub struct Micros(pub u64);
 
 impl Micros {
+    /// No time.
     pub const ZERO: Micros = Micros(0);
 
+    /// From milliseconds.
     pub const fn from_millis(ms: u64) -> Self {
         Micros(ms * 1_000)
     }
@@ -25,6 +27,7 @@
         }
     }
 
+    /// In seconds.
     pub fn as_secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
@@ -39,6 +42,7 @@
         Micros((self.0 as f64 * of) as u64)
     }
 
+    /// As the standard library's duration.
     pub fn duration(self) -> std::time::Duration {
         std::time::Duration::from_micros(self.0)
     }
@@ -63,10 +67,12 @@
 pub struct Steady(std::time::Instant);
 
 impl Steady {
+    /// A clock that starts now.
     pub fn start() -> Self {
         Steady(std::time::Instant::now())
     }
 
+    /// The time since the start.
     pub fn now(&self) -> Micros {
         // A second is added so that "long ago" can be told from zero.
         Micros(self.0.elapsed().as_micros() as u64 + 1_000_000)
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -26,6 +26,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// A controller's state and all of its decisions.
 pub struct Core {
     settings: Rc<Settings>,
     policy: Rc<Policy>,
@@ -76,6 +77,7 @@
 const OUT_FOR: Micros = Micros::from_millis(6_000);
 
 impl Core {
+    /// A controller that has just started and knows nothing of the store.
     pub fn new(settings: Rc<Settings>, policy: Rc<Policy>, now: Micros) -> Self {
         let member = Member::new(
             settings.label.clone(),
@@ -120,6 +122,7 @@
         now < self.member.acts_until(self.read)
     }
 
+    /// Takes one message in and says what is to be done. `now` is the steady clock, `day` the time of day.
     pub fn handle(&mut self, now: Micros, day: Micros, input: Input) -> Vec<Effect> {
         let mut out = Vec::new();
         match input {
--- a/src/controller/http.rs
+++ b/src/controller/http.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+/// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
     /// Surely not carried out.
@@ -21,6 +22,7 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Kept connections to one address.
 pub struct Pool {
     addr: String,
     idle: RefCell<Vec<Sender>>,
@@ -31,6 +33,7 @@
 const CONNECT: Duration = Duration::from_millis(1_000);
 
 impl Pool {
+    /// A pool of at most `most` connections.
     pub fn new(addr: String, most: usize) -> Self {
         Pool {
             addr,
@@ -64,6 +67,7 @@
         Some(sender)
     }
 
+    /// Sends one request and waits for its answer, for `within` at most.
     pub async fn call(
         &self,
         method: &str,
@@ -136,6 +140,7 @@
 }
 
 impl Pools {
+    /// Pools of at most `most` addresses.
     pub fn new(most: usize) -> Self {
         Pools {
             most,
@@ -144,6 +149,7 @@
         }
     }
 
+    /// The pool of an address.
     pub fn to(&mut self, addr: &str) -> Rc<Pool> {
         if let Some(pool) = self.young.get(addr) {
             return pool.clone();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -30,25 +30,33 @@
 
 /// A question to the state service from the users' side.
 pub struct Question {
+    /// What to ask.
     pub request: Request,
+    /// Where the reply goes.
     pub answer: oneshot::Sender<Reply>,
 }
 
 /// A worker's report and where its answer goes.
 pub struct Arrived {
+    /// What the worker reported.
     pub report: Report,
+    /// Where the answer goes.
     pub answer: oneshot::Sender<Answer>,
 }
 
 /// A cancellation that the store has confirmed.
 pub struct Cancelled {
+    /// The cancelled job.
     pub job: JobId,
+    /// The store's revision at which it was cancelled.
     pub revision: Revision,
 }
 
 /// A user's question how a job stands.
 pub struct StatusQuery {
+    /// The job that is asked about.
     pub id: JobId,
+    /// Where the answer goes.
     pub answer: oneshot::Sender<Found>,
 }
 
@@ -57,6 +65,7 @@
 const WATCH_GAP: Duration = Duration::from_millis(120);
 const DO_DEADLINE: Duration = Duration::from_millis(2_500);
 
+/// An address can't be listened on, or its limits don't allow it.
 #[derive(Debug, thiserror::Error)]
 #[error("can't listen on {addr}: {why}")]
 pub struct ListenError {
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -8,8 +8,11 @@
 /// Amounts of each resource: of a task, a machine or the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Resources {
+    /// Processor cores.
     pub cores: f64,
+    /// Accelerators.
     pub cards: f64,
+    /// Memory, in GB.
     pub mem: f64,
 }
 
@@ -17,6 +20,7 @@
 const EPS: f64 = 1e-6;
 
 impl Resources {
+    /// These amounts.
     pub fn new(cores: f64, cards: f64, mem: f64) -> Self {
         Resources { cores, cards, mem }
     }
@@ -29,10 +33,12 @@
         )
     }
 
+    /// So many times as much of each.
     pub fn scale(self, by: f64) -> Resources {
         Resources::new(self.cores * by, self.cards * by, self.mem * by)
     }
 
+    /// Whether there is enough of each.
     pub fn fits_in(&self, room: &Resources) -> bool {
         self.cores <= room.cores + EPS
             && self.cards <= room.cards + EPS
@@ -120,7 +126,9 @@
 /// What a machine's attempts request, in all and by team.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Load {
+    /// What all attempts request together.
     pub summed: Resources,
+    /// What each team's attempts request.
     pub teams: Vec<(usize, Resources)>,
     /// Unreported since a take-over, or with attempts of jobs that are not known: it
     /// may hold anything, of any team.
@@ -128,6 +136,7 @@
 }
 
 impl Load {
+    /// Adds an attempt.
     pub fn take(&mut self, team: usize, request: Resources) {
         self.summed += request;
         match self.teams.iter_mut().find(|(t, _)| *t == team) {
@@ -154,16 +163,19 @@
 }
 
 impl Weights {
+    /// Of these teams, with nothing used.
     pub fn new(teams: &[usize]) -> Self {
         Weights {
             teams: teams.iter().map(|t| (*t, TeamSum::default())).collect(),
         }
     }
 
+    /// Adds what is on a machine.
     pub fn add(&mut self, load: &Load, capacity: Resources) {
         self.adjust(load, capacity, 1.0);
     }
 
+    /// Takes away what was on a machine.
     pub fn remove(&mut self, load: &Load, capacity: Resources) {
         self.adjust(load, capacity, -1.0);
     }
@@ -187,6 +199,7 @@
         }
     }
 
+    /// One team's sums.
     pub fn of(&self, team: usize) -> TeamSum {
         self.teams.get(&team).copied().unwrap_or_default()
     }
--- a/src/fleet/client.rs
+++ b/src/fleet/client.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+/// A client of the cloud's interface.
 pub struct Cloud {
     pool: Pool,
     bucket: RefCell<Bucket>,
@@ -35,6 +36,7 @@
 }
 
 impl Cloud {
+    /// A client that stays below `rps` requests a second.
     pub fn new(pool: Pool, clock: Steady, rps: f64) -> Self {
         // Only the leader calls regularly; the others' few calls at their start
         // fit into what is left.
@@ -45,6 +47,7 @@
         }
     }
 
+    /// Asks once, as soon as the limit allows.
     pub async fn ask(&self, request: &CloudRequest) -> CloudReply {
         match request {
             CloudRequest::Types => match self.call("GET", "/machine_types", None).await {
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -23,22 +23,31 @@
 pub enum Write {
     /// Machines' keys; the rentals that it settles.
     Machines {
+        /// The rentals whose machines are all recorded with it.
         settled: Vec<String>,
     },
     /// Makes an earlier write of machines fail, should it still be on its way.
     Fence,
+    /// A rental that is about to be asked for.
     RentalState {
+        /// The rental's name.
         name: String,
+        /// What is to be rented.
         rental: RentalRecord,
     },
+    /// A rental that came to nothing.
     Drop {
+        /// The rental's name.
         name: String,
     },
 }
 
+/// What the manager wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
+    /// Write to the store.
     Txn(Write, Vec<Cond>, Vec<Op>),
+    /// Ask the cloud.
     Cloud(CloudRequest),
 }
 
@@ -119,6 +128,7 @@
 const MOST_RETURNED: usize = 100;
 
 impl Manager {
+    /// A manager that does not lead yet.
     pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
             txn_ops: settings.most_changes(),
@@ -414,6 +424,7 @@
         Some(Effect::Txn(Write::Machines { settled }, conds, ops))
     }
 
+    /// Takes in the cloud's answer.
     pub fn cloud(&mut self, now: Micros, request: CloudRequest, reply: CloudReply) {
         match (request, reply) {
             (CloudRequest::List, reply) => {
@@ -488,6 +499,7 @@
         }
     }
 
+    /// Takes in the store's answer to a write.
     pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
         match write {
             Write::Machines { settled } => {
@@ -536,4 +548,5 @@
     }
 }
 
+/// The machine types, shared.
 pub type Types = Arc<Vec<MachineType>>;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,71 +8,105 @@
 use crate::ids::MachineId;
 use serde::{Deserialize, Serialize};
 
+/// A type of machine that the cloud rents out.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
+    /// The type's name.
     pub name: String,
+    /// Cores of a machine.
     pub cores: f64,
+    /// Accelerators of a machine.
     #[serde(default)]
     pub cards: f64,
+    /// Memory of a machine, in GB.
     #[serde(rename = "memGb")]
     pub mem: f64,
+    /// Room for images, in GB.
     #[serde(rename = "cacheGb", default)]
     pub cache_gb: f64,
+    /// How fast an image is fetched, in GB a second.
     #[serde(rename = "pullGbPerS", default)]
     pub fetch_gb_per_s: f64,
+    /// Price an hour.
     pub price: f64,
+    /// Price an hour of one that the cloud may take back.
     #[serde(rename = "lowPrice")]
     pub spot_price: f64,
+    /// How long it takes to come up, usually, in seconds.
     #[serde(rename = "readyS")]
     pub boot_s: f64,
+    /// Where it is offered.
     #[serde(rename = "yards")]
     pub zones: Vec<String>,
 }
 
 impl MachineType {
+    /// All that tasks may take of a machine.
     pub fn capacity(&self) -> Resources {
         Resources::new(self.cores, self.cards, self.mem)
     }
 }
 
+/// What the cloud says of a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CloudStanding {
+    /// Not up yet.
     Booting,
+    /// Up.
     Running,
+    /// It stopped on its own.
     Failed,
 }
 
+/// A machine in the cloud's list.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Listed {
+    /// The machine's name.
     pub id: MachineId,
+    /// Where its worker takes direct commands.
     #[serde(default)]
     pub addr: Option<String>,
+    /// Its type.
     pub build: String,
+    /// Its zone.
     #[serde(rename = "yard")]
     pub zone: String,
+    /// Whether the cloud may take it back.
     #[serde(rename = "loaners")]
     pub spot: bool,
+    /// Whether it is up.
     pub standing: CloudStanding,
+    /// Seconds since it was rented, when the list was made.
     #[serde(rename = "heldS", default)]
     pub age_s: f64,
 }
 
+/// What the cloud is asked.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CloudRequest {
+    /// Which types there are, and their prices.
     Types,
     /// The whole list, page by page.
     List,
+    /// To rent machines, under this name.
     Rent(String, crate::blocks::RentalRecord),
+    /// To take machines back.
     Return(Vec<MachineId>),
 }
 
+/// What the cloud answers.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CloudReply {
+    /// The types.
     Types(Vec<MachineType>),
+    /// The machines.
     List(Vec<Listed>),
+    /// Rented, as many as there were.
     Rented(Vec<MachineId>),
+    /// There are none of this type, zone and kind.
     NoCapacity,
+    /// They and all that was on them are gone.
     Returned,
     /// Trouble, or no answer: it may still be carried out.
     Unknown,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -12,6 +12,7 @@
         pub struct $name(Arc<str>);
 
         impl $name {
+            /// As text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
@@ -121,11 +122,14 @@
 /// One task of a job, in the wire's form `j-000412/3`.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
+    /// The job.
     pub job: JobId,
+    /// Which of its tasks, from 0.
     pub index: u32,
 }
 
 impl TaskId {
+    /// Reads `job/index`.
     pub fn parse(s: &str) -> Option<TaskId> {
         let (job, index) = s.rsplit_once('/')?;
         Some(TaskId {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -15,6 +15,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
+/// A job has no more tasks.
 pub const MOST_TASKS: u32 = 100_000;
 /// Finished tasks are kept in pages of at most this many.
 const PAGE: u32 = 1024;
@@ -36,15 +37,21 @@
     ((2.0 * ranges) as u32).clamp(8, PAGE)
 }
 
+/// A job's priority; a higher one may stop a lower one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Rank {
+    /// Runs in what is left.
     Idle,
+    /// The usual one.
     Standard,
+    /// Above the usual one.
     High,
+    /// Above all others.
     Production,
 }
 
+/// How a job's tasks belong together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Form {
@@ -57,38 +64,58 @@
 /// A job as its user describes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobDesc {
+    /// The job's id, chosen by its user.
     pub id: JobId,
+    /// The class that it belongs to.
     #[serde(rename = "lot")]
     pub class: String,
+    /// Whose guarantee and limit apply.
     #[serde(rename = "crew")]
     pub team: String,
+    /// How its tasks belong together.
     pub form: Form,
+    /// Its priority.
     pub rank: Rank,
+    /// How many tasks it has.
     #[serde(rename = "hands")]
     pub tasks: u32,
+    /// Cores that a task takes.
     pub cores: f64,
+    /// Accelerators that a task takes.
     pub cards: f64,
+    /// Memory that a task takes, in GB.
     #[serde(rename = "memGb")]
     pub mem: f64,
+    /// The image that a task needs.
     #[serde(rename = "deck")]
     pub image: String,
+    /// The size of the image, in GB.
     #[serde(rename = "sizeGb")]
     pub image_gb: f64,
+    /// The machine types that it allows; none: any.
     #[serde(default)]
     pub builds: Option<Vec<String>>,
+    /// The only zone that it allows; none: any.
     #[serde(rename = "yard", default)]
     pub zone: Option<String>,
+    /// All tasks must be in the same zone.
     #[serde(rename = "oneZone")]
     pub one_zone: bool,
+    /// At most half of the tasks may be in one zone.
     pub apart: bool,
+    /// It may take machines that the cloud may take back.
     #[serde(rename = "loaners")]
     pub spot: bool,
+    /// The owner's estimate of a task's run time, in seconds.
     #[serde(rename = "reckonS")]
     pub estimate_s: f64,
+    /// A task saves each so many seconds; 0: never.
     #[serde(rename = "markS")]
     pub checkpoint_s: f64,
+    /// What a task needs to save when it is stopped, in seconds.
     #[serde(rename = "stowS")]
     pub save_s: f64,
+    /// The deadline, in seconds from its submission.
     #[serde(rename = "dueS", default)]
     pub due_s: Option<f64>,
 }
@@ -101,7 +128,9 @@
 /// Why a submission is refused for good.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Refusal {
+    /// It can't be read, or a field is missing or invalid.
     Malformed(String),
+    /// It can never run here.
     NeverRuns(String),
 }
 
@@ -111,10 +140,12 @@
 }
 
 impl JobDesc {
+    /// What a task takes.
     pub fn request(&self) -> Resources {
         Resources::new(self.cores, self.cards, self.mem)
     }
 
+    /// What is kept of it after its end.
     pub fn footprint(&self) -> Footprint {
         Footprint {
             team: self.team.clone(),
@@ -122,6 +153,7 @@
         }
     }
 
+    /// Its image's name in short.
     pub fn image_key(&self) -> ImageKey {
         let mut hasher = DefaultHasher::new();
         self.image.hash(&mut hasher);
@@ -224,6 +256,7 @@
 /// watchers do not read a description again with every finished task.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
+    /// What its user asked for.
     pub desc: JobDesc,
     /// Time of day at which it was accepted.
     pub at: Micros,
@@ -234,6 +267,7 @@
 /// A page of a job's progress, written by its owner.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ProgressRecord {
+    /// Who wrote it.
     pub owner: Option<Label>,
     /// Finished tasks of this page.
     pub done: Vec<(u32, u32)>,
@@ -242,26 +276,35 @@
     pub running: u32,
 }
 
+/// How a job stands, as its user is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Standing {
+    /// No task runs.
     Pending,
+    /// A task runs.
     Running,
+    /// Every task is done.
     Done,
+    /// Its user has cancelled it.
     Cancelled,
 }
 
 /// What each task of a job takes, and whose limit it counts against.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Footprint {
+    /// The team's name.
     pub team: String,
+    /// What a task takes.
     pub request: Resources,
 }
 
 /// What the store keeps of a job that is over. It never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndedRecord {
+    /// How it ended.
     pub standing: Standing,
+    /// How many tasks it had.
     pub tasks: u32,
     /// For a later holder that finds an attempt of it still on a machine. Records of
     /// earlier versions lack it.
@@ -293,12 +336,17 @@
 /// A job in its owner's hands.
 #[derive(Debug)]
 pub struct Job {
+    /// What its user asked for.
     pub desc: Rc<JobDesc>,
+    /// Its team's place in the settings.
     pub team: usize,
+    /// Time of day at which it was accepted.
     pub at: Micros,
+    /// The term of its team's block then.
     pub born: Term,
     /// Of its record, which never changes while the job lives.
     pub revision: Revision,
+    /// Finished tasks.
     pub done: RangeSet,
     /// Neither done nor on a machine.
     pub waiting: RangeSet,
@@ -308,6 +356,7 @@
     running: BTreeSet<u32>,
     /// A write of it is out.
     pub writing: bool,
+    /// Nothing of it is written before then.
     pub write_after: Micros,
     /// Tasks in a page.
     page: u32,
@@ -322,7 +371,9 @@
     pub ended: bool,
     /// Failures in a row, and how long to wait because of them.
     pub failures: u32,
+    /// Nothing of it starts before then.
     pub not_before: Micros,
+    /// Where it failed since anything of it succeeded.
     pub failed_on: BTreeSet<MachineId>,
     /// Time of day at which a task of it last started, as far as is known here.
     pub last_start: Micros,
@@ -335,6 +386,7 @@
 }
 
 impl Job {
+    /// A job of which nothing has been done, as far as is known.
     pub fn new(rec: &JobRecord, revision: Revision, team: usize, page: u32) -> Job {
         Job {
             desc: Rc::new(rec.desc.clone()),
@@ -397,6 +449,7 @@
         *kept = revision.max(*kept);
     }
 
+    /// Whether every task is done.
     pub fn all_done(&self) -> bool {
         self.done.len() == self.desc.tasks
     }
@@ -454,11 +507,13 @@
         }
     }
 
+    /// A task is being started on a machine.
     pub fn start(&mut self, index: u32, on: MachineId) {
         self.waiting.remove(index);
         self.active.insert(index, on);
     }
 
+    /// A report has shown a task running.
     pub fn runs(&mut self, index: u32) {
         if self.active.contains_key(&index) {
             self.running.insert(index);
@@ -600,4 +655,4 @@
 }
 
 #[cfg(test)]
-pub mod tests;
+pub(crate) mod tests;
--- a/src/jobs/ranges.rs
+++ b/src/jobs/ranges.rs
@@ -10,6 +10,7 @@
 }
 
 impl RangeSet {
+    /// From ranges, each with its end excluded.
     pub fn from_pairs(pairs: impl IntoIterator<Item = (u32, u32)>) -> Self {
         let mut set = RangeSet::default();
         for (a, b) in pairs {
@@ -18,18 +19,22 @@
         set
     }
 
+    /// All from 0 to below `n`.
     pub fn full(n: u32) -> Self {
         RangeSet::from_pairs([(0, n)])
     }
 
+    /// How many numbers are in it.
     pub fn len(&self) -> u32 {
         self.len
     }
 
+    /// Whether none is in it.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
+    /// Whether a number is in it.
     pub fn contains(&self, i: u32) -> bool {
         self.ranges
             .range(..=i)
@@ -37,10 +42,12 @@
             .is_some_and(|(_, &end)| i < end)
     }
 
+    /// The least number.
     pub fn first(&self) -> Option<u32> {
         self.ranges.first_key_value().map(|(&a, _)| a)
     }
 
+    /// Adds a number; false if it was there.
     pub fn insert(&mut self, i: u32) -> bool {
         if self.contains(i) {
             return false;
@@ -67,6 +74,7 @@
         self.len += b - a;
     }
 
+    /// Takes a number out; false if it was not there.
     pub fn remove(&mut self, i: u32) -> bool {
         let Some((&s, &e)) = self.ranges.range(..=i).next_back() else {
             return false;
@@ -85,6 +93,7 @@
         true
     }
 
+    /// Its ranges, each with its end excluded.
     pub fn pairs(&self) -> impl Iterator<Item = (u32, u32)> + '_ {
         self.ranges.iter().map(|(&a, &b)| (a, b))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! Every slice keeps its decisions in plain, synchronous state that is told
 //! the time; only the thin drivers around them know sockets and clocks.
 
+#![warn(missing_docs)]
+
 pub mod api;
 pub mod blocks;
 pub mod clock;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -24,30 +24,42 @@
     /// When it was received, by the receiver's clock.
     #[serde(skip)]
     pub at: Micros,
+    /// Which block.
     pub block: BlockId,
+    /// The term of its grant.
     pub term: Term,
+    /// The room that its waiting work lacks.
     pub needs: Vec<Need>,
+    /// Machines that should be returned.
     pub dead: Vec<MachineId>,
 }
 
+/// What a controller tells of itself, every so often.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerState {
+    /// Who tells it.
     pub from: Label,
+    /// Which incarnation of it.
     pub incarnation: Revision,
+    /// It reaches the state service.
     pub store_ok: bool,
     /// False: it hears none of its machines.
     pub hears_workers: bool,
+    /// The blocks that it holds.
     pub blocks: Vec<BlockState>,
 }
 
 /// What controllers tell each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
+    /// How a controller and its blocks are.
     PeerState(PeerState),
     /// The store has confirmed that a job is cancelled, at this revision. Whoever holds
     /// its block hears it here before the watch tells, or while the store can't be read.
     Cancelled {
+        /// The cancelled job.
         job: JobId,
+        /// The store's revision at which it was cancelled.
         revision: Revision,
     },
 }
@@ -64,6 +76,7 @@
         .new_codec()
 }
 
+/// A frame with a message.
 pub fn encode(message: &Message) -> Option<Bytes> {
     postcard::to_stdvec(&Frame {
         version: VERSION,
@@ -73,6 +86,7 @@
     .map(Bytes::from)
 }
 
+/// The message of a frame, if it is of this version.
 pub fn decode(frame: &[u8]) -> Option<Message> {
     let (version, rest) = postcard::take_from_bytes::<u16>(frame).ok()?;
     if version != VERSION {
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -108,10 +108,12 @@
         floor
     }
 
+    /// How many machines there are.
     pub fn len(&self) -> usize {
         self.rooms.len()
     }
 
+    /// Whether there is none.
     pub fn is_empty(&self) -> bool {
         self.rooms.is_empty()
     }
--- a/src/placement/constrained.rs
+++ b/src/placement/constrained.rs
@@ -11,6 +11,7 @@
 use crate::fleet::MachineType;
 use crate::jobs::{Job, JobDesc, allows_build};
 
+/// Waiting classes that fit only some types of machines.
 #[derive(Debug, Default)]
 pub struct ConstrainedDemand {
     types: Vec<(String, Resources)>,
@@ -28,6 +29,7 @@
 const MOST: usize = 200;
 
 impl ConstrainedDemand {
+    /// With nothing waiting.
     pub fn new(types: &[MachineType]) -> Self {
         ConstrainedDemand {
             types: types
@@ -68,6 +70,7 @@
         waiting
     }
 
+    /// What waits from now on.
     pub fn set_waiting(&mut self, waiting: Vec<Vec<bool>>) {
         self.waiting = waiting;
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,8 +27,11 @@
 /// A decision: this task on this machine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
+    /// The job.
     pub job: JobId,
+    /// Which of its tasks.
     pub index: u32,
+    /// The machine that it goes to.
     pub machine: MachineId,
 }
 
@@ -55,17 +58,25 @@
 
 /// What placement may look at.
 pub struct SchedulingSnapshot<'a> {
+    /// The platform's settings.
     pub settings: &'a Settings,
     /// All machines of all blocks.
     pub fleet: Resources,
+    /// The steady clock.
     pub now: Micros,
+    /// The time of day.
     pub day: Micros,
+    /// The block's jobs.
     pub jobs: &'a BTreeMap<JobId, Job>,
+    /// The block's machines.
     pub machines: &'a BTreeMap<MachineId, Machine>,
+    /// The block's teams.
     pub teams: &'a [usize],
+    /// The teams' sums.
     pub weights: &'a Weights,
     /// The term of a take-over that is not complete yet.
     pub recovery: Option<&'a Recovery>,
+    /// A machine silent for longer gets no new work.
     pub heard_within: Micros,
     /// Waiting classes with little choice of machines.
     pub constrained: &'a ConstrainedDemand,
@@ -101,6 +112,7 @@
 /// A take-over that is not complete yet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Recovery {
+    /// The term of the grant.
     pub term: Term,
     /// Of the machines that have not reported since and may run anything: type, zone,
     /// kind and capacity, each once. No capacity: it is not known.
@@ -133,6 +145,7 @@
 /// The same for one that began, and none of whose tasks started since.
 const GO_ON: Micros = Micros::from_millis(200_000);
 
+/// Whether a job has waited so long that it goes before all others of its team.
 pub fn starved(job: &Job, day: Micros) -> bool {
     let begun = job.last_start > job.at || !job.done.is_empty() || !job.active.is_empty();
     day.since(job.last_start) > if begun { GO_ON } else { BEGIN }
@@ -175,6 +188,7 @@
 /// What a pass has decided.
 #[derive(Debug, Default)]
 pub struct Placed {
+    /// What to start.
     pub choices: Vec<Choice>,
     /// The head job that fits nowhere, and the machines that are held for it.
     pub held: Option<(JobId, Vec<MachineId>)>,
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -11,17 +11,24 @@
 /// Waiting work of one class.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Need {
+    /// What a task takes.
     pub request: Resources,
+    /// The machine types that are allowed; none: any.
     pub builds: Option<Vec<String>>,
+    /// The only zone that is allowed; none: any.
     pub zone: Option<String>,
+    /// Machines that the cloud may take back will do.
     pub spot: bool,
     /// Tasks' worth of room that is missing.
     pub count: u32,
+    /// How long a task runs, in seconds, as its owner estimates.
     pub estimate_s: f64,
+    /// It has waited for so long that machines are rented at once.
     pub waited_long: bool,
 }
 
 impl Need {
+    /// Whether such a machine can run a task of it.
     pub fn fits(&self, build: &str, zone: &str, spot: bool, capacity: &Resources) -> bool {
         (self.spot || !spot)
             && self.zone.as_deref().is_none_or(|z| z == zone)
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -13,15 +13,18 @@
 /// Work to be stopped for a job, and the room that this keeps for it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Stop {
+    /// Where work is stopped.
     pub machine: MachineId,
     /// With the time that each needs to save.
     pub victims: Vec<(AttemptKey, f64)>,
+    /// The room that this frees, and for whom.
     pub reserve: Reserved,
 }
 
 /// What a pass over the waiting work decided to stop.
 #[derive(Debug, Default)]
 pub struct Preemption {
+    /// What to stop, by machine.
     pub stops: Vec<Stop>,
     /// Machines compared with a job: what the pass cost.
     pub machines_compared: usize,
--- a/src/policy/lang.rs
+++ b/src/policy/lang.rs
@@ -7,14 +7,20 @@
 /// Where in a file, counted from 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SourcePosition {
+    /// The line, from 1.
     pub line: usize,
+    /// The column, from 1.
     pub column: usize,
 }
 
+/// What is wrong with a policy, and where.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub struct PolicyError {
+    /// Where.
     pub at: SourcePosition,
+    /// What is wrong.
     pub why: String,
+    /// What may help; empty: nothing is known to.
     pub hint: String,
 }
 
@@ -29,6 +35,7 @@
     }
 }
 
+/// An error at a position.
 pub fn fail<T>(
     at: SourcePosition,
     why: impl Into<String>,
@@ -44,16 +51,22 @@
 /// A value, or what is known of one before anything runs.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Value {
+    /// A number.
     Number(f64),
+    /// True or false.
     Truth(bool),
+    /// Text.
     Text(String),
 }
 
+/// The type of an expression, with what is known of its value.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Kind {
     /// With the least and the most that it can be.
     Number(f64, f64),
+    /// True or false.
     Truth,
+    /// Text.
     Text,
 }
 
@@ -93,6 +106,7 @@
     Clamp,
 }
 
+/// An expression, and where it stands.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Expr {
     at: SourcePosition,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,12 +12,25 @@
 /// The policy without a file, as `rockdeal policy` prints it.
 pub const DEFAULT: &str = include_str!("default.policy");
 
+/// Why a policy file is refused.
 #[derive(Debug, thiserror::Error)]
 pub enum LoadError {
+    /// It can't be read.
     #[error("can't read policy file {path}: {why}")]
-    Unreadable { path: String, why: std::io::Error },
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why.
+        why: std::io::Error,
+    },
+    /// It is wrong at some place.
     #[error("policy file {path}, {why}")]
-    Wrong { path: String, why: PolicyError },
+    Wrong {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        why: PolicyError,
+    },
 }
 
 /// The operators' choices. None of them can weaken a rule.
@@ -126,6 +139,7 @@
         Policy::parse("", settings)
     }
 
+    /// Reads and checks a policy's text.
     pub fn parse(text: &str, settings: &Settings) -> Result<Policy, PolicyError> {
         let known = platform(settings);
         let fixed = known.map(|(n, v)| (n, Kind::Number(v, v)));
@@ -233,4 +247,4 @@
 }
 
 #[cfg(test)]
-pub mod tests;
+pub(crate) mod tests;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,45 +9,74 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 
+/// Why a settings file is refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
+    /// It can't be read.
     #[error("can't read settings file {path}: {why}")]
-    Unreadable { path: String, why: std::io::Error },
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why.
+        why: std::io::Error,
+    },
+    /// It is not JSON, or a field is missing or of the wrong type.
     #[error("settings file {path} is malformed: {why}")]
     Malformed {
+        /// The file.
         path: String,
+        /// Why.
         why: serde_json::Error,
     },
+    /// It contradicts itself, or leaves too little to work with.
     #[error("settings file {path}: {why}")]
-    Contradictory { path: String, why: String },
+    Contradictory {
+        /// The file.
+        path: String,
+        /// Why.
+        why: String,
+    },
 }
 
+/// Another controller.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Seed {
+    /// The controller's label.
     pub label: Label,
+    /// Where it listens for its peers.
     pub addr: SocketAddrV4,
 }
 
+/// Addresses of the platform's services.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Endpoints {
+    /// The cloud's interface.
     pub cloud: SocketAddrV4,
+    /// The state service.
     pub state: SocketAddrV4,
 }
 
+/// A team, its guarantee and its limit.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Team {
+    /// The team's name.
     pub name: String,
+    /// Cores guaranteed.
     #[serde(default)]
     pub cpus: f64,
+    /// The most cores that it may use; 0: no limit.
     #[serde(default)]
     pub cpus_max: f64,
+    /// Accelerators guaranteed.
     #[serde(default)]
     pub gpus: f64,
+    /// The most accelerators that it may use; 0: no limit.
     #[serde(default)]
     pub gpus_max: f64,
 }
 
 impl Team {
+    /// What is guaranteed to it. Memory is not.
     pub fn guarantee(&self) -> Resources {
         Resources::new(self.cpus, self.gpus, 0.0)
     }
@@ -60,32 +89,48 @@
     }
 }
 
+/// The workers' times, in seconds.
 #[derive(Debug, Clone, Deserialize)]
 pub struct WorkerTimes {
+    /// Between two reports.
     pub report_s: f64,
+    /// After the last answered report, a worker ends all that it has.
     pub lease_s: f64,
+    /// Within this a cancelled job's tasks must be gone.
     pub cancel_s: f64,
 }
 
+/// The limits of the state service.
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
+    /// Requests in a second, of all controllers.
     pub rps: f64,
+    /// Changes in a second, of all controllers.
     pub write_rps: f64,
+    /// The size of a value, in KiB.
     pub value_kb: f64,
+    /// Changes in one transaction.
     pub txn_ops: usize,
 }
 
+/// The limits of the cloud's interface.
 #[derive(Debug, Clone, Deserialize)]
 pub struct CloudLimits {
+    /// Requests in a second.
     pub rps: f64,
+    /// How far the list of machines lags, in seconds.
     pub list_lag_s: f64,
 }
 
+/// What this process may use.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Limits {
+    /// Sockets.
     pub sockets: usize,
+    /// Memory, in MB.
     #[serde(default)]
     pub ram_mb: Option<f64>,
+    /// The share of one core.
     #[serde(default)]
     pub cpu_share: Option<f64>,
 }
@@ -93,33 +138,51 @@
 /// What is expected of a class; kinds that are not known here are ignored.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
+    /// What is counted.
     pub kind: String,
+    /// The class of jobs that it is about.
     #[serde(default)]
     pub class: Option<String>,
+    /// The time within which it should happen, in seconds.
     #[serde(default)]
     pub within_s: Option<f64>,
 }
 
+/// What the platform says of the deployment.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Platform {
+    /// How many controllers there are.
     pub initial_size: usize,
+    /// The teams, each known by its place here.
     pub teams: Vec<Team>,
+    /// What users expect.
     #[serde(default)]
     pub objectives: Vec<Objective>,
+    /// The workers' times.
     pub workers: WorkerTimes,
+    /// The limits of the state service.
     pub state: StateLimits,
+    /// The limits of the cloud's interface.
     pub cloud: CloudLimits,
+    /// What this process may use.
     pub limits: Limits,
 }
 
+/// The platform's settings file.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
+    /// This controller's label.
     pub label: Label,
+    /// Where users, workers and health checks come.
     pub bind: SocketAddrV4,
+    /// Where the other controllers come.
     pub mesh_addr: SocketAddrV4,
+    /// The other controllers.
     #[serde(default)]
     pub seeds: Vec<Seed>,
+    /// The platform's services.
     pub endpoints: Endpoints,
+    /// What the platform says of the deployment.
     #[serde(rename = "settings")]
     pub platform: Platform,
 }
@@ -137,6 +200,7 @@
 const LEAST_LEASE_S: f64 = 2.0;
 
 impl Settings {
+    /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|why| SettingsError::Unreadable {
@@ -154,6 +218,7 @@
         Ok(settings)
     }
 
+    /// Says in one line what contradicts itself or can't work.
     pub fn check(&self) -> Result<(), String> {
         let p = &self.platform;
         let fail = |why: String| Err(why);
@@ -264,10 +329,12 @@
         Some(Micros::from_secs(least))
     }
 
+    /// A team's place by its name.
     pub fn team(&self, name: &str) -> Option<usize> {
         self.platform.teams.iter().position(|t| t.name == name)
     }
 
+    /// All guarantees together.
     pub fn guarantees(&self) -> Resources {
         let mut all = Resources::default();
         for t in &self.platform.teams {
@@ -278,4 +345,4 @@
 }
 
 #[cfg(test)]
-pub mod tests;
+pub(crate) mod tests;
--- a/src/settings/sockets.rs
+++ b/src/settings/sockets.rs
@@ -4,6 +4,7 @@
 
 /// To the state service and to the cloud: those come before all else.
 pub const STORE_SOCKETS: usize = 48;
+/// Sockets to the cloud's interface.
 pub const CLOUD_SOCKETS: usize = 8;
 /// Listeners, logs and what the runtime itself holds.
 const OWN_SOCKETS: usize = 16;
@@ -37,6 +38,7 @@
 }
 
 impl Settings {
+    /// Shares out the sockets, or says why there are too few.
     pub fn sockets(&self) -> Result<Sockets, String> {
         let p = &self.platform;
         // A peer that connects anew may leave its earlier connection behind a cut.
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -19,6 +19,7 @@
 }
 
 impl Bucket {
+    /// A full bucket of this rate, in units a second.
     pub fn new(rate: f64, now: Micros) -> Self {
         Bucket {
             rate,
@@ -67,6 +68,7 @@
 const FALL_GAP: Micros = Micros::from_millis(500);
 
 impl AdaptiveBucket {
+    /// A bucket that begins at its least rate.
     pub fn new(least: f64, most: f64, now: Micros) -> Self {
         AdaptiveBucket {
             bucket: Bucket::new(least, now),
@@ -268,6 +270,7 @@
         }
     }
 
+    /// Waits for a moment for changes after a revision.
     pub async fn follow(&self, since: u64) -> Followed {
         if !self.admit(Urgency::Vital, 0) {
             return Followed::Failed;
@@ -291,9 +294,13 @@
     OverLimit,
 }
 
+/// What a watch gave.
 pub enum Followed {
+    /// Changes, and the revision that they reach.
     Changes(Vec<Change>, u64),
+    /// Too far behind: all must be read again.
     TooOld,
+    /// No answer.
     Failed,
 }
 
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -18,31 +18,47 @@
 
 type Table<K, V> = BTreeMap<K, (Revision, V)>;
 
+/// The store's records as this controller has read them.
 #[derive(Debug, Default)]
 pub struct Mirror {
+    /// Whether a full reading has come.
     pub loaded: bool,
+    /// The last term given out.
     pub term: (Revision, TermRecord),
+    /// Who leads.
     pub leader: Option<(Revision, LeaderRecord)>,
+    /// The machine types.
     pub types: Option<(Revision, Vec<MachineType>)>,
+    /// The controllers that take part.
     pub members: Table<Label, MemberRecord>,
+    /// Who holds each block.
     pub holders: Table<BlockId, HolderRecord>,
     /// Each block's machines, in shards.
     pub machines: Table<(BlockId, u32), Rc<MachinesRecord>>,
     /// Where each machine is recorded.
     pub(crate) home: BTreeMap<MachineId, (BlockId, u32)>,
+    /// Jobs that are not over.
     pub jobs: Table<JobId, Rc<JobRecord>>,
+    /// Their progress, in pages.
     pub pages: Table<(JobId, u32), ProgressRecord>,
+    /// Rentals that are not settled.
     pub rentals: Table<String, RentalRecord>,
+    /// The teams' sums, by who wrote them.
     pub sums: Table<Label, Value>,
 }
 
 /// What a change touched, for those who keep more than the mirror does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Touched {
+    /// Who holds a block.
     Holder(BlockId),
+    /// A shard of a block's machines.
     Machines(BlockId, u32),
+    /// A job.
     Job(JobId),
+    /// A page of a job's progress.
     Page(JobId, u32),
+    /// Anything else.
     Other,
 }
 
@@ -82,6 +98,7 @@
         }
     }
 
+    /// Takes one change in.
     pub fn change(&mut self, c: Change) -> Touched {
         match (c.set, c.delete) {
             (Some(key), _) => self.apply(&key, Some(c.value), c.revision),
@@ -160,6 +177,7 @@
         self.holders.get(&b).map_or(Revision(0), |h| h.0)
     }
 
+    /// The revision of a shard, 0 if there is none.
     pub fn shard_revision(&self, at: (BlockId, u32)) -> Revision {
         self.machines.get(&at).map_or(Revision(0), |m| m.0)
     }
@@ -171,6 +189,7 @@
             .map(|((_, n), (revision, rec))| (*n, *revision, rec))
     }
 
+    /// The recorded machines of one block.
     pub fn machines_of(&self, b: BlockId) -> impl Iterator<Item = (&MachineId, &MachineRecord)> {
         self.shards(b).flat_map(|(_, _, rec)| rec.0.iter())
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -15,16 +15,22 @@
 /// Our transactions stay below this; they may have 64 KiB.
 pub const TXN_BYTES: usize = 40 * 1024;
 
+/// The names of all keys.
 pub mod keys {
     use crate::ids::{BlockId, JobId, Label};
 
+    /// The last term given out.
     pub const TERM: &str = "r/term";
+    /// Who leads.
     pub const LEADER: &str = "r/leader";
+    /// The machine types.
     pub const TYPES: &str = "r/types";
 
+    /// A controller's membership.
     pub fn member(label: &Label) -> String {
         format!("r/members/{label}")
     }
+    /// Who holds a block.
     pub fn holder(b: BlockId) -> String {
         format!("r/blocks/{b}/holder")
     }
@@ -32,18 +38,23 @@
     pub fn machines(b: BlockId, shard: u32) -> String {
         format!("r/blocks/{b}/machines/{shard}")
     }
+    /// A job that is not over.
     pub fn job(id: &JobId) -> String {
         format!("r/jobs/{id}")
     }
+    /// A page of a job's progress.
     pub fn page(id: &JobId, page: u32) -> String {
         format!("r/done/{id}/{page:04}")
     }
+    /// A job that is over.
     pub fn ended(id: &JobId) -> String {
         format!("ended/{id}")
     }
+    /// The teams' sums of a controller's blocks.
     pub fn sums(label: &Label) -> String {
         format!("r/sums/{label}")
     }
+    /// A rental.
     pub fn rental(name: &str) -> String {
         format!("r/hires/{name}")
     }
@@ -52,32 +63,43 @@
 /// A condition: the key's last change must be this one; revision 0: no such key.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Cond {
+    /// The key.
     #[serde(rename = "k")]
     pub key: String,
+    /// What its last change must be.
     #[serde(rename = "stamp")]
     pub revision: Revision,
 }
 
+/// A condition on one key.
 pub fn cond(key: String, revision: Revision) -> Cond {
     Cond { key, revision }
 }
 
+/// One change of a transaction.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Op {
+    /// Sets a key.
     Set {
+        /// The key.
         #[serde(rename = "set")]
         key: String,
+        /// Its new value.
         value: Value,
+        /// The lease that it is attached to.
         #[serde(rename = "tenure", skip_serializing_if = "Option::is_none")]
         lease_id: Option<LeaseId>,
     },
+    /// Deletes a key.
     Delete {
+        /// The key.
         #[serde(rename = "delete")]
         key: String,
     },
 }
 
+/// Sets a key that is attached to no lease.
 pub fn set(key: String, value: &impl Serialize) -> Op {
     Op::Set {
         key,
@@ -86,6 +108,7 @@
     }
 }
 
+/// Sets a key that is deleted when the lease ends.
 pub fn set_leased(key: String, value: &impl Serialize, lease_id: LeaseId) -> Op {
     Op::Set {
         key,
@@ -94,30 +117,46 @@
     }
 }
 
+/// Deletes a key.
 pub fn delete(key: String) -> Op {
     Op::Delete { key }
 }
 
+/// What the state service is asked.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Request {
+    /// One key.
     Get {
+        /// The key.
         key: String,
     },
+    /// A page of the keys that begin alike.
     List {
+        /// What they begin with.
         starts: String,
+        /// The last key of the page before.
         since: Option<String>,
     },
+    /// A transaction.
     Txn {
+        /// What must hold.
         conds: Vec<Cond>,
+        /// What is changed if it does.
         ops: Vec<Op>,
     },
+    /// A new lease.
     NewLease {
+        /// How long it lives without a renewal.
         life: Micros,
     },
+    /// To renew a lease.
     Renew {
+        /// Which.
         lease_id: LeaseId,
     },
+    /// To end a lease.
     EndLease {
+        /// Which.
         lease_id: LeaseId,
     },
 }
@@ -133,27 +172,42 @@
     Spare,
 }
 
+/// A key with its value.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Row {
+    /// The key.
     #[serde(rename = "k")]
     pub key: String,
+    /// Its value.
     pub value: Value,
+    /// Of its last change.
     #[serde(rename = "stamp")]
     pub revision: Revision,
 }
 
+/// What the state service answers.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Reply {
+    /// The key that was asked for.
     Found(Row),
+    /// There is no such key.
     Missing,
+    /// A page of keys.
     Rows {
+        /// The keys of this page.
         rows: Vec<Row>,
+        /// Whether there are more.
         more: bool,
+        /// The revision that it was read at.
         ledger: u64,
     },
+    /// The transaction was carried out, at this revision.
     Committed(Revision),
+    /// It was not: conditions on these keys failed.
     Conflict(Vec<String>),
+    /// The new lease.
     Leased(LeaseId),
+    /// Done.
     Done,
     /// The lease named in a transaction or a renewal has ended.
     LeaseGone,
@@ -166,10 +220,14 @@
 /// One change that a watch tells of.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Change {
+    /// The key that was set.
     pub set: Option<String>,
+    /// The key that was deleted.
     pub delete: Option<String>,
+    /// The new value of a key that was set.
     #[serde(default)]
     pub value: Value,
+    /// Of the change.
     #[serde(rename = "stamp")]
     pub revision: Revision,
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -12,12 +12,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Names an attempt of a task.
 pub type AttemptKey = (TaskId, AttemptId);
 
 /// An attempt on a machine, until it is surely over.
 #[derive(Debug, Clone)]
 pub struct Attempt {
+    /// How far it has got.
     pub phase: Phase,
+    /// Why it ended.
     pub cause: Option<Cause>,
     /// Whose limit it counts against and what it takes; none: of a job that is not
     /// known here, so that it may be any team's and take all of its machine.
@@ -26,6 +29,7 @@
     pub desc: Option<Rc<JobDesc>>,
     /// When it was decided, or first seen.
     pub since: Micros,
+    /// When a report first showed it running.
     pub running_since: Option<Micros>,
     /// Its launch went out by `/do` or in an answer.
     pub sent: bool,
@@ -42,6 +46,7 @@
 }
 
 impl Attempt {
+    /// An attempt of a job, if that is known, with its team.
     pub fn new(phase: Phase, now: Micros, job: Option<(usize, &Rc<JobDesc>)>) -> Attempt {
         Attempt {
             phase,
@@ -59,11 +64,13 @@
         }
     }
 
+    /// What it takes, as far as that is known.
     pub fn request(&self) -> Resources {
         self.takes
             .map_or(Resources::default(), |(_, request)| request)
     }
 
+    /// The image that it needs.
     pub fn image(&self) -> Option<ImageKey> {
         self.desc.as_ref().map(|d| d.image_key())
     }
@@ -72,16 +79,22 @@
 /// Room that was freed for a job by stopping others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reserved {
+    /// The job that the room is kept for.
     pub job: JobId,
+    /// What one of its tasks takes.
     pub request: Resources,
+    /// For so many of its tasks.
     pub count: u32,
+    /// Kept until then.
     pub until: Micros,
 }
 
 /// What a report changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
+    /// It began to run.
     Started(AttemptKey),
+    /// It ended, and why.
     Ended(AttemptKey, Cause),
     /// Over without a trace: the session moved on, or it never began.
     Gone(AttemptKey),
@@ -92,11 +105,14 @@
 /// How far giving a machine up has got. From the first step on it is not used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Leaving {
+    /// It stays.
     No,
+    /// The write that gives it up is out.
     Sent,
     /// The write had no answer: it may have been, or may still be, carried out,
     /// until the key that it depends on has changed.
     Unsure,
+    /// It is given up.
     Stored,
 }
 
@@ -107,11 +123,17 @@
 /// A holder's picture of one machine.
 #[derive(Debug)]
 pub struct Machine {
+    /// Its type.
     pub build: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether the cloud may take it back.
     pub spot: bool,
+    /// All that tasks may take of it.
     pub capacity: Resources,
+    /// Where its worker takes direct commands.
     pub addr: String,
+    /// The term under which it is commanded.
     pub term: Term,
     epoch: u64,
     /// Of the newest report that counts; 0: there is none yet.
@@ -121,6 +143,7 @@
     heard_session: u64,
     /// Held by an earlier holder: nothing is known of it until a report has our token.
     pub unconfirmed: bool,
+    /// Since when it is in this holder's hands.
     pub added: Micros,
     /// In use before this holder had it, so it has cost its least already.
     pub seasoned: bool,
@@ -145,7 +168,9 @@
     pub last_answer: Micros,
     /// By when its present session had surely begun: its lease counts from there, too.
     session_from: Micros,
+    /// Attempts that are, or may still be, on it.
     pub attempts: BTreeMap<AttemptKey, Attempt>,
+    /// Images that it has most likely.
     pub images: BTreeSet<ImageKey>,
     /// The cloud takes it then.
     pub taken_at: Option<Micros>,
@@ -155,9 +180,11 @@
     command_sent_at: (u64, u64),
     /// A `/do` had no answer and may still arrive; over once a report has this token.
     unfenced: Option<FencingToken>,
+    /// It gets nothing more to do.
     pub draining: bool,
     /// Drained for its silence alone: until it is heard again.
     pub condemned: bool,
+    /// How far giving it up has got.
     pub leaving: Leaving,
     /// The revision of its shard when its record was last to be changed by us.
     pub left_at: Revision,
@@ -169,6 +196,7 @@
     pub direct_after: Micros,
     /// How often our token was sent to it directly after a take-over.
     pub token_commands: u32,
+    /// Since when nothing is on it.
     pub idle_since: Micros,
     /// Room kept for jobs that others were stopped for.
     pub reserved: Vec<Reserved>,
@@ -183,6 +211,7 @@
 }
 
 impl Machine {
+    /// A machine of which nothing has been heard yet.
     pub fn new(
         now: Micros,
         term: Term,
@@ -238,6 +267,7 @@
         }
     }
 
+    /// The token that its worker is to obey now.
     pub fn token(&self) -> FencingToken {
         FencingToken::of(self.term, self.epoch)
     }
@@ -577,4 +607,4 @@
 }
 
 #[cfg(test)]
-pub mod tests;
+pub(crate) mod tests;
