Background jobs leave scarce machines to waiting classes while they get on elsewhere

It now leaves the types that others need whole, as long as a task of it has started within 60 s; then it takes what there is, so that nobody starves.

The test was seen to fail without it.

--- a/src/placement/constrained.rs
+++ b/src/placement/constrained.rs
@@ -25,6 +25,8 @@
 /// The same for a job whose class has no such objective but a deadline: it must
 /// have so much slack left.
 const SLACK_US: i64 = 20_000_000;
+/// The same for a job with neither: so long ago a task of it must have started.
+const GETS_ON: Micros = Micros::from_millis(60_000);
 /// How many waiting jobs are looked at.
 const MOST: usize = 200;
 
@@ -109,7 +111,9 @@
     match (job.starts_within, job.desc.due_s) {
         (Some(within), _) => day.since(job.at) < within.part(PART),
         (None, Some(_)) => job.slack(day) > SLACK_US,
-        (None, None) => false,
+        // Guards against small background tasks spread over machines of which others need
+        // the whole: as long as the job gets on elsewhere, it can wait for the rest.
+        (None, None) => day.since(job.last_start) < GETS_ON,
     }
 }
 
--- a/src/placement/constrained/tests.rs
+++ b/src/placement/constrained/tests.rs
@@ -20,6 +20,14 @@
     );
     small.starts_within = Some(Micros::from_secs(3.0));
     assert!(constrained.leaves(&small, soon).is_empty(), "it can't wait");
+    // Without objective or deadline it leaves them as long as it gets on elsewhere.
+    let mut background = rec("j-3", 4, Term(1));
+    background.desc.due_s = None;
+    let mut background = Job::new(&background, Revision(1), 0, 64);
+    let later = Micros::from_secs(100.0);
+    assert!(constrained.leaves(&background, later).is_empty());
+    background.last_start = Micros::from_secs(50.0);
+    assert_eq!(constrained.leaves(&background, later), vec!["big"]);
     // What fits no more than the waiting class does leaves it nothing.
     let mut large = rec("j-2", 4, Term(1));
     large.desc.cores = 8.0;
