--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -28,6 +28,8 @@
 /// A job is looked up for so long before its submission is refused for now: readings of the
 /// store that come at all come sooner.
 const LOOKUP: Duration = Duration::from_millis(500);
+/// What is wrong with a body that can't be read.
+const BAD_BODY: &str = "the body is over 64 KiB or broken off";
 /// Times that a write is tried again after someone else's change.
 const TRIES: usize = 4;
 
@@ -53,24 +55,49 @@
     ports: Ports,
 }
 
+/// Why a user's request is refused for good.
+#[derive(Debug, PartialEq, thiserror::Error)]
+enum ApiError {
+    /// It can't be read, or a field is missing or invalid.
+    #[error("{0}")]
+    Malformed(String),
+    /// There is no such job.
+    #[error("no such job")]
+    UnknownJob,
+    /// It can never run here.
+    #[error("{0}")]
+    NeverRuns(String),
+}
+
+impl ApiError {
+    fn status(&self) -> u16 {
+        match self {
+            ApiError::Malformed(_) => 400,
+            ApiError::UnknownJob => 404,
+            ApiError::NeverRuns(_) => 422,
+        }
+    }
+}
+
 /// What a user is told.
 #[derive(Debug, PartialEq)]
-enum Told {
+enum UserAnswer {
     Job {
         status: u16,
         id: JobId,
         standing: Standing,
         counts: Option<(u32, u32)>,
     },
-    No(u16, String),
+    /// Final: asking again does not help.
+    Rejected(ApiError),
     /// Can't be decided or taken now: come back.
-    Later(&'static str),
+    Unavailable(&'static str),
 }
 
-impl Told {
+impl UserAnswer {
     fn render(self, res: &mut Response) {
         let (status, body) = match self {
-            Told::Job {
+            UserAnswer::Job {
                 status,
                 id,
                 standing,
@@ -83,8 +110,8 @@
                 }
                 (status, body)
             }
-            Told::No(status, why) => (status, json!({"error": why})),
-            Told::Later(why) => {
+            UserAnswer::Rejected(error) => (error.status(), json!({"error": error.to_string()})),
+            UserAnswer::Unavailable(why) => {
                 res.headers_mut()
                     .insert(RETRY_AFTER, HeaderValue::from_static("1"));
                 (503, json!({"error": why}))
@@ -101,7 +128,7 @@
     let _ = res.write_body(body.to_string());
 }
 
-const NO_STORE: Told = Told::Later("the state service can't be reached");
+const NO_STORE: UserAnswer = UserAnswer::Unavailable("the state service can't be reached");
 
 impl Api {
     async fn ask(&self, request: Ask) -> Reply {
@@ -140,7 +167,7 @@
         }
     }
 
-    async fn submit(&self, body: &[u8]) -> Told {
+    async fn submit(&self, body: &[u8]) -> UserAnswer {
         let job = match JobDesc::parse(body) {
             Ok(job) => job,
             Err(refusal) => return refused(refusal),
@@ -148,7 +175,7 @@
         for _ in 0..TRIES {
             let view = self.ports.view.borrow().clone();
             let Some(types) = &view.types else {
-                let told = Told::Later("machine types are not known yet");
+                let told = UserAnswer::Unavailable("machine types are not known yet");
                 return self.unless_known(&job.id, told).await;
             };
             if let Err(refusal) = job.admissible(&self.settings, types) {
@@ -173,7 +200,7 @@
             let ops = vec![store::set(keys::job(&job.id), &rec)];
             match self.ask(Ask::Txn { conds, ops }).await {
                 Reply::Committed(_) => {
-                    return Told::Job {
+                    return UserAnswer::Job {
                         status: 201,
                         id: job.id,
                         standing: Standing::Pending,
@@ -192,18 +219,18 @@
                 _ => return self.unless_known(&job.id, NO_STORE).await,
             }
         }
-        let told = Told::Later("the team's block is changing hands");
+        let told = UserAnswer::Unavailable("the team's block is changing hands");
         self.unless_known(&job.id, told).await
     }
 
     /// The answer to a submission that can't be taken. Guards against a refusal of what
     /// was accepted before, by whichever node and however the types, the team's block or
     /// the store are now: a repeat is told how the job stands.
-    async fn unless_known(&self, id: &JobId, told: Told) -> Told {
+    async fn unless_known(&self, id: &JobId, told: UserAnswer) -> UserAnswer {
         // A refusal for now goes out soon, whatever the lookup does: its user asks again.
         // One for good must know.
         let found = match told {
-            Told::Later(_) => tokio::time::timeout(LOOKUP, self.find(id)).await,
+            UserAnswer::Unavailable(_) => tokio::time::timeout(LOOKUP, self.find(id)).await,
             _ => Ok(self.find(id).await),
         };
         match found {
@@ -212,22 +239,22 @@
         }
     }
 
-    async fn status(&self, id: &str) -> Told {
+    async fn status(&self, id: &str) -> UserAnswer {
         let id = JobId::from(id);
         if !id.well_formed() {
-            return Told::No(404, "no such job".into());
+            return UserAnswer::Rejected(ApiError::UnknownJob);
         }
         match self.find(&id).await {
-            Found::Nothing => Told::No(404, "no such job".into()),
+            Found::Nothing => UserAnswer::Rejected(ApiError::UnknownJob),
             Found::Unreadable => NO_STORE,
             found => known(found, &id),
         }
     }
 
-    async fn abort(&self, id: &str) -> Told {
+    async fn abort(&self, id: &str) -> UserAnswer {
         let id = JobId::from(id);
         if !id.well_formed() {
-            return Told::No(404, "no such job".into());
+            return UserAnswer::Rejected(ApiError::UnknownJob);
         }
         for _ in 0..TRIES {
             let (revision, tasks, footprint) = match self.find(&id).await {
@@ -237,7 +264,7 @@
                     footprint,
                     ..
                 } => (revision, tasks, footprint),
-                Found::Nothing => return Told::No(404, "no such job".into()),
+                Found::Nothing => return UserAnswer::Rejected(ApiError::UnknownJob),
                 Found::Unreadable => return NO_STORE,
                 found => return known(found, &id),
             };
@@ -259,7 +286,7 @@
                     let job = id.clone();
                     // Full: whoever holds its block reads it from the store.
                     let _ = self.ports.cancels.try_send(Cancelled { job, revision });
-                    return Told::Job {
+                    return UserAnswer::Job {
                         status: 200,
                         id,
                         standing: Standing::Cancelled,
@@ -271,7 +298,7 @@
                 _ => return NO_STORE,
             }
         }
-        Told::Later("the job changes too often just now")
+        UserAnswer::Unavailable("the job changes too often just now")
     }
 
     async fn report(&self, body: &[u8]) -> (u16, Value) {
@@ -299,23 +326,23 @@
     }
 }
 
-fn refused(refusal: Refusal) -> Told {
+fn refused(refusal: Refusal) -> UserAnswer {
     tracing::info!(?refusal, "submission refused for good");
     match refusal {
-        Refusal::Malformed(why) => Told::No(400, why),
-        Refusal::NeverRuns(why) => Told::No(422, why),
+        Refusal::Malformed(why) => UserAnswer::Rejected(ApiError::Malformed(why)),
+        Refusal::NeverRuns(why) => UserAnswer::Rejected(ApiError::NeverRuns(why)),
     }
 }
 
 /// The answer about a job that the store has.
-fn known(found: Found, id: &JobId) -> Told {
+fn known(found: Found, id: &JobId) -> UserAnswer {
     match found {
         Found::Live {
             standing,
             done,
             running,
             ..
-        } => Told::Job {
+        } => UserAnswer::Job {
             status: 200,
             id: id.clone(),
             standing,
@@ -327,7 +354,7 @@
             } else {
                 0
             };
-            Told::Job {
+            UserAnswer::Job {
                 status: 200,
                 id: id.clone(),
                 standing: e.standing,
@@ -356,7 +383,10 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         match body(req).await {
             Some(b) => self.0.submit(&b).await.render(res),
-            None => Told::No(400, "the body is over 64 KiB or broken off".into()).render(res),
+            None => {
+                let error = ApiError::Malformed(BAD_BODY.into());
+                UserAnswer::Rejected(error).render(res);
+            }
         }
     }
 }
@@ -382,10 +412,7 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let (status, answer) = match body(req).await {
             Some(b) => self.0.report(&b).await,
-            None => (
-                400,
-                json!({"error": "the body is over 64 KiB or broken off"}),
-            ),
+            None => (400, json!({"error": BAD_BODY})),
         };
         // A worker that is not answered here goes elsewhere; and where sockets get
         // short, one that is comes back with its next report.
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -83,17 +83,17 @@
     }
 }
 
-fn status(told: &Told) -> (u16, Option<Standing>) {
+fn status(told: &UserAnswer) -> (u16, Option<Standing>) {
     match told {
-        Told::Job {
+        UserAnswer::Job {
             status, standing, ..
         } => (*status, Some(*standing)),
-        Told::No(status, _) => (*status, None),
-        Told::Later(_) => (503, None),
+        UserAnswer::Rejected(error) => (error.status(), None),
+        UserAnswer::Unavailable(_) => (503, None),
     }
 }
 
-async fn submit(view: View, store: Answers, find: Find) -> Told {
+async fn submit(view: View, store: Answers, find: Find) -> UserAnswer {
     let api = api(view, store, find, orders(Micros::ZERO));
     api.submit(job().to_string().as_bytes()).await
 }
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -14,7 +14,8 @@
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
 use crate::jobs::{Job, page_tasks};
 use crate::placement::{
-    self, Coming, ConstrainedDemand, Need, Queues, Recovery, SchedulingSnapshot,
+    self, ComingMachines, ConstrainedDemand, Need, Queues, Recovery, SchedulingSnapshot,
+    SilentMachines,
 };
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -385,14 +386,19 @@
     }
 
     fn count_unconfirmed(&mut self, now: Micros) {
-        let mut silent: Vec<(String, String, bool, Option<Resources>)> = Vec::new();
+        let mut silent: Vec<SilentMachines> = Vec::new();
         for m in self.machines.values().filter(|m| m.unconfirmed) {
             let capacity = (m.capacity != Resources::default()).then_some(m.capacity);
-            let same = |(b, z, s, c): &(String, String, bool, Option<Resources>)| {
-                *b == m.build && *z == m.zone && *s == m.spot && *c == capacity
+            let alike = |s: &SilentMachines| {
+                s.build == m.build && s.zone == m.zone && s.spot == m.spot && s.capacity == capacity
             };
-            if !silent.iter().any(same) {
-                silent.push((m.build.clone(), m.zone.clone(), m.spot, capacity));
+            if !silent.iter().any(alike) {
+                silent.push(SilentMachines {
+                    build: m.build.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    capacity,
+                });
             }
         }
         let recovery = (!silent.is_empty()).then_some(Recovery {
@@ -533,16 +539,24 @@
 
     /// The room that waiting work lacks.
     pub fn needs(&self, now: Micros, day: Micros, fleet: Resources) -> Vec<Need> {
-        let mut coming: Vec<Coming<'_>> = Vec::new();
+        let mut coming: Vec<ComingMachines<'_>> = Vec::new();
         for m in self
             .machines
             .values()
             .filter(|m| m.last_heard.is_none() && m.leaving == Leaving::No && !m.draining)
         {
-            let alike = |c: &&mut Coming<'_>| c.1 == m.build && c.2 == m.zone && c.3 == m.spot;
+            let alike = |c: &&mut ComingMachines<'_>| {
+                c.build == m.build && c.zone == m.zone && c.spot == m.spot
+            };
             match coming.iter_mut().find(alike) {
-                Some(c) => c.4 += 1,
-                None => coming.push((m.capacity, &m.build, &m.zone, m.spot, 1)),
+                Some(c) => c.count += 1,
+                None => coming.push(ComingMachines {
+                    capacity: m.capacity,
+                    build: &m.build,
+                    zone: &m.zone,
+                    spot: m.spot,
+                    count: 1,
+                }),
             }
         }
         placement::needs(
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -52,7 +52,12 @@
 }
 
 /// A type, zone and kind that the cloud may or may not have more of.
-type Offer = (String, String, bool);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Offer {
+    build: String,
+    zone: String,
+    spot: bool,
+}
 
 #[derive(Debug, Default)]
 struct Backoff {
@@ -450,7 +455,11 @@
                 let Some((_, state)) = self.rentals.get_mut(&name) else {
                     return;
                 };
-                let offer = (rental.build.clone(), rental.zone.clone(), rental.spot);
+                let offer = Offer {
+                    build: rental.build.clone(),
+                    zone: rental.zone.clone(),
+                    spot: rental.spot,
+                };
                 match reply {
                     CloudReply::Rented(ids) => {
                         if (ids.len() as u32) < rental.count {
--- a/src/fleet/manager/renting.rs
+++ b/src/fleet/manager/renting.rs
@@ -1,6 +1,6 @@
 //! What to rent for the room that waiting work lacks, and asking the cloud for it.
 
-use super::{Credit, Effect, Manager, RentalState, Write};
+use super::{Credit, Effect, Manager, Offer, RentalState, Write};
 use crate::blocks::RentalRecord;
 use crate::clock::Micros;
 use crate::fairness::Resources;
@@ -211,7 +211,11 @@
             let per = need.request.times_in(&t.capacity());
             for zone in t.zones.iter().filter(|_| per > 0) {
                 for spot in [true, false] {
-                    let offer = (t.name.clone(), zone.clone(), spot);
+                    let offer = Offer {
+                        build: t.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
                     let open = self.backoff.get(&offer).is_none_or(|b| now >= b.until);
                     let asked = self.rentals.values().any(|(h, s)| {
                         h.build == t.name
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,7 +12,7 @@
 
 pub use candidates::CandidateMachines;
 pub use constrained::ConstrainedDemand;
-pub use needs::{Coming, Need, needs};
+pub use needs::{ComingMachines, Need, needs};
 pub use preempt::{Preemption, Stop, preempt};
 
 use crate::clock::Micros;
@@ -109,14 +109,26 @@
         && !m.suspect()
 }
 
+/// Machines that are alike and have not reported since a take-over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SilentMachines {
+    /// Their type.
+    pub build: String,
+    /// Their zone.
+    pub zone: String,
+    /// Whether the cloud may take them back.
+    pub spot: bool,
+    /// Of each of them; none: it is not known.
+    pub capacity: Option<Resources>,
+}
+
 /// A take-over that is not complete yet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Recovery {
     /// The term of the grant.
     pub term: Term,
-    /// Of the machines that have not reported since and may run anything: type, zone,
-    /// kind and capacity, each once. No capacity: it is not known.
-    pub silent: Vec<(String, String, bool, Option<Resources>)>,
+    /// The machines that have not reported since and may run anything, each kind once.
+    pub silent: Vec<SilentMachines>,
 }
 
 impl Recovery {
@@ -124,9 +136,9 @@
     /// under this term has no old attempts; an older one has them only where it fits.
     fn may_hold(&self, job: &Job) -> bool {
         job.born < self.term
-            && self.silent.iter().any(|(build, zone, spot, capacity)| {
-                job.may_have_been_on(build, zone, *spot)
-                    && capacity.is_none_or(|c| job.desc.request().fits_in(&c))
+            && self.silent.iter().any(|m| {
+                job.may_have_been_on(&m.build, &m.zone, m.spot)
+                    && m.capacity.is_none_or(|c| job.desc.request().fits_in(&c))
             })
     }
 }
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -45,22 +45,35 @@
     }
 }
 
-/// Machines on their way that are alike: capacity, type, zone, kind, how many.
-pub type Coming<'a> = (Resources, &'a str, &'a str, bool, u32);
+/// Machines on their way that are alike.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ComingMachines<'a> {
+    /// Of each of them.
+    pub capacity: Resources,
+    /// Their type.
+    pub build: &'a str,
+    /// Their zone.
+    pub zone: &'a str,
+    /// Whether the cloud may take them back.
+    pub spot: bool,
+    /// How many there are.
+    pub count: u32,
+}
 
 /// Work that has waited this long rents at once.
 const LONG: Micros = Micros::from_millis(10_000);
 
 /// Takes from machines on their way what serves a job; returns for how many tasks.
-fn serve(rooms: &mut [Coming<'_>], d: &JobDesc, tasks: u32) -> u32 {
+fn serve(rooms: &mut [ComingMachines<'_>], d: &JobDesc, tasks: u32) -> u32 {
     let request = d.request();
     let mut served = 0;
-    for (capacity, build, zone, spot, machines) in rooms {
-        let per = request.times_in(capacity);
-        if served < tasks && *machines > 0 && per > 0 && d.allows(build, zone, *spot) {
-            let used = (tasks - served).div_ceil(per).min(*machines);
+    for room in rooms {
+        let per = request.times_in(&room.capacity);
+        let allowed = d.allows(room.build, room.zone, room.spot);
+        if served < tasks && room.count > 0 && per > 0 && allowed {
+            let used = (tasks - served).div_ceil(per).min(room.count);
             served += (used * per).min(tasks - served);
-            *machines -= used;
+            room.count -= used;
         }
     }
     served
@@ -86,7 +99,11 @@
 }
 
 /// The room that the block's waiting work still lacks, after what is booting.
-pub fn needs(scene: &SchedulingSnapshot<'_>, coming: &[Coming<'_>], horizon: Micros) -> Vec<Need> {
+pub fn needs(
+    scene: &SchedulingSnapshot<'_>,
+    coming: &[ComingMachines<'_>],
+    horizon: Micros,
+) -> Vec<Need> {
     let mut left: BTreeMap<usize, Resources> = BTreeMap::new();
     for &t in scene.teams {
         let limit = scene.settings.platform.teams[t].limit();
@@ -98,7 +115,7 @@
         .filter(|j| !j.ended && !j.waiting.is_empty())
         .collect();
     jobs.sort_by_cached_key(|j| (Reverse(j.desc.rank), j.slack(scene.day)));
-    let mut rooms: Vec<Coming<'_>> = coming.to_vec();
+    let mut rooms: Vec<ComingMachines<'_>> = coming.to_vec();
     let mut carry = 0.0;
     let mut needs: Vec<Need> = Vec::new();
     for job in jobs {
