--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -122,6 +122,8 @@
     /// Since when we have not been late ourselves: silence before says nothing about
     /// machines, nor about our being cut off from them.
     listening: Micros,
+    /// How often we have been late, for operators.
+    late_ticks: u32,
     last_heard: Micros,
     /// When a machine last reported by itself.
     last_report: Micros,
@@ -206,6 +208,7 @@
             last_look: now,
             last_tick: now,
             listening: now,
+            late_ticks: 0,
             last_heard: now,
             last_report: now,
             last_give_up: Micros::ZERO,
@@ -465,6 +468,7 @@
     pub fn tick(&mut self, now: Micros, day: Micros, fleet: Resources) {
         if now.since(self.last_tick) > LATE {
             self.listening = now;
+            self.late_ticks += 1;
         }
         self.last_tick = now;
         if now.since(self.last_look) >= LOOK {
@@ -579,7 +583,7 @@
         for j in self.jobs.values().filter(|j| !j.ended) {
             *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
         }
-        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, "use");
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, late_ticks = self.late_ticks, "use");
     }
 
     /// Each team's heaviness, for the sums; they are made anew from the machines'
