--- /dev/null
+++ b/src/jobs/description.rs
@@ -0,0 +1,228 @@
+//! What users ask for: a job's description, and why one is refused.
+
+use super::Footprint;
+use crate::fairness::Resources;
+use crate::fleet::MachineType;
+use crate::ids::JobId;
+use crate::settings::Settings;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// A job has no more tasks.
+pub const MOST_TASKS: u32 = 100_000;
+
+/// A job's priority; a higher one may stop a lower one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Rank {
+    /// Runs in what is left.
+    Idle,
+    /// The usual one.
+    Standard,
+    /// Above the usual one.
+    High,
+    /// Above all others.
+    Production,
+}
+
+/// How a job's tasks belong together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Form {
+    /// Independent tasks.
+    Sweep,
+    /// Runs until it is cancelled (see docs/questions.md).
+    Service,
+}
+
+/// A job as its user describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobDesc {
+    /// The job's id, chosen by its user.
+    pub id: JobId,
+    /// The class that it belongs to.
+    #[serde(rename = "lot")]
+    pub class: String,
+    /// Whose guarantee and limit apply.
+    #[serde(rename = "crew")]
+    pub team: String,
+    /// How its tasks belong together.
+    pub form: Form,
+    /// Its priority.
+    pub rank: Rank,
+    /// How many tasks it has.
+    #[serde(rename = "hands")]
+    pub tasks: u32,
+    /// Cores that a task takes.
+    pub cores: f64,
+    /// Accelerators that a task takes.
+    pub cards: f64,
+    /// Memory that a task takes, in GB.
+    #[serde(rename = "memGb")]
+    pub mem: f64,
+    /// The image that a task needs.
+    #[serde(rename = "deck")]
+    pub image: String,
+    /// The size of the image, in GB.
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    /// The machine types that it allows; none: any.
+    #[serde(default)]
+    pub builds: Option<Vec<String>>,
+    /// The only zone that it allows; none: any.
+    #[serde(rename = "yard", default)]
+    pub zone: Option<String>,
+    /// All tasks must be in the same zone.
+    #[serde(rename = "oneZone")]
+    pub one_zone: bool,
+    /// At most half of the tasks may be in one zone.
+    pub apart: bool,
+    /// It may take machines that the cloud may take back.
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    /// The owner's estimate of a task's run time, in seconds.
+    #[serde(rename = "reckonS")]
+    pub estimate_s: f64,
+    /// A task saves each so many seconds; 0: never.
+    #[serde(rename = "markS")]
+    pub checkpoint_s: f64,
+    /// What a task needs to save when it is stopped, in seconds.
+    #[serde(rename = "stowS")]
+    pub save_s: f64,
+    /// The deadline, in seconds from its submission.
+    #[serde(rename = "dueS", default)]
+    pub due_s: Option<f64>,
+}
+
+/// An image's name in short. Two names that share one only make a machine look a
+/// little better than it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ImageKey(u64);
+
+/// Why a submission is refused for good.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Refusal {
+    /// It can't be read, or a field is missing or invalid.
+    Malformed(String),
+    /// It can never run here.
+    NeverRuns(String),
+}
+
+/// No list of types allows any.
+pub fn allows_build(builds: &Option<Vec<String>>, build: &str) -> bool {
+    builds.as_ref().is_none_or(|b| b.iter().any(|b| b == build))
+}
+
+impl JobDesc {
+    /// What a task takes.
+    pub fn request(&self) -> Resources {
+        Resources::new(self.cores, self.cards, self.mem)
+    }
+
+    /// What is kept of it after its end.
+    pub fn footprint(&self) -> Footprint {
+        Footprint {
+            team: self.team.clone(),
+            request: self.request(),
+        }
+    }
+
+    /// Its image's name in short.
+    pub fn image_key(&self) -> ImageKey {
+        let mut hasher = DefaultHasher::new();
+        self.image.hash(&mut hasher);
+        ImageKey(hasher.finish())
+    }
+
+    /// Whether a machine of this type, zone and kind is one the job allows.
+    pub fn allows(&self, build: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && allows_build(&self.builds, build)
+    }
+
+    /// Reads a submission; whatever is missing or invalid makes it malformed.
+    pub fn parse(body: &[u8]) -> Result<JobDesc, Refusal> {
+        let bad = |why: String| Err(Refusal::Malformed(why));
+        let value: serde_json::Value = match serde_json::from_slice(body) {
+            Ok(v) => v,
+            Err(e) => return bad(format!("not JSON: {e}")),
+        };
+        if !value.is_object() {
+            return bad("not an object".into());
+        }
+        let job: JobDesc = match serde_json::from_value(value) {
+            Ok(j) => j,
+            Err(e) => return bad(e.to_string()),
+        };
+        if !job.id.well_formed() {
+            return bad("id must be j- and digits".into());
+        }
+        if job.tasks == 0 || job.tasks > MOST_TASKS {
+            return bad(format!("hands must be from 1 to {MOST_TASKS}"));
+        }
+        let amounts = [
+            ("cores", job.cores),
+            ("cards", job.cards),
+            ("memGb", job.mem),
+            ("sizeGb", job.image_gb),
+            ("reckonS", job.estimate_s),
+            ("markS", job.checkpoint_s),
+            ("stowS", job.save_s),
+            ("dueS", job.due_s.unwrap_or(0.0)),
+        ];
+        if let Some((name, _)) = amounts.iter().find(|(_, a)| !a.is_finite() || *a < 0.0) {
+            return bad(format!("{name} must be finite and not negative"));
+        }
+        if job.cores == 0.0 && job.cards == 0.0 && job.mem == 0.0 {
+            return bad("a task must take something of its machine".into());
+        }
+        let names = [
+            ("lot", &job.class),
+            ("crew", &job.team),
+            ("deck", &job.image),
+        ];
+        if let Some((name, _)) = names.iter().find(|(_, n)| n.is_empty()) {
+            return bad(format!("{name} is empty"));
+        }
+        Ok(job)
+    }
+
+    /// Whether it can ever run here.
+    pub fn admissible(&self, settings: &Settings, types: &[MachineType]) -> Result<(), Refusal> {
+        let never = |why: String| Err(Refusal::NeverRuns(why));
+        let Some(team) = settings.team(&self.team) else {
+            return never(format!("unknown team {}", self.team));
+        };
+        let together = if self.form == Form::Sweep {
+            1
+        } else {
+            self.tasks
+        };
+        let least = self.request().scale(f64::from(together));
+        if !least.fits_in(&settings.platform.teams[team].limit()) {
+            return never("one task is over its team's limit".into());
+        }
+        // Its record must fit into one value, with what stands beside it.
+        let most = settings.platform.state.value_kb * 1024.0 - 256.0;
+        if serde_json::to_string(self).map_or(0, |s| s.len()) as f64 > most {
+            return never("its description is too long to be recorded".into());
+        }
+        let fitting = types
+            .iter()
+            .filter(|t| self.request().fits_in(&t.capacity()));
+        let zones: BTreeSet<&str> = fitting
+            .flat_map(|t| t.zones.iter().filter(|z| self.allows(&t.name, z, false)))
+            .map(String::as_str)
+            .collect();
+        if zones.is_empty() {
+            return never("a task fits no allowed machine type".into());
+        }
+        // At most half of the tasks, rounded up, may be in one zone.
+        if self.apart && self.tasks > 1 && (self.one_zone || zones.len() < 2) {
+            return never("its tasks must be apart, but only one zone is allowed".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/jobs/records.rs
@@ -0,0 +1,67 @@
+//! What the store keeps of jobs, and how a job stands.
+
+use super::JobDesc;
+use crate::clock::Micros;
+use crate::fairness::Resources;
+use crate::ids::{Label, Term};
+use serde::{Deserialize, Serialize};
+
+/// What the store keeps of a job that is not over. It never changes, so that
+/// watchers do not read a description again with every finished task.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What its user asked for.
+    pub desc: JobDesc,
+    /// Time of day at which it was accepted.
+    pub at: Micros,
+    /// The term of its team's block then: no earlier holder can have run it.
+    pub born: Term,
+}
+
+/// A page of a job's progress, written by its owner.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// Who wrote it.
+    pub owner: Option<Label>,
+    /// Finished tasks of this page.
+    pub done: Vec<(u32, u32)>,
+    /// How many tasks run, of the whole job; in the first page only.
+    #[serde(default)]
+    pub running: u32,
+}
+
+/// How a job stands, as its user is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Standing {
+    /// No task runs.
+    Pending,
+    /// A task runs.
+    Running,
+    /// Every task is done.
+    Done,
+    /// Its user has cancelled it.
+    Cancelled,
+}
+
+/// What each task of a job takes, and whose limit it counts against.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Footprint {
+    /// The team's name.
+    pub team: String,
+    /// What a task takes.
+    pub request: Resources,
+}
+
+/// What the store keeps of a job that is over. It never changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndedRecord {
+    /// How it ended.
+    pub standing: Standing,
+    /// How many tasks it had.
+    pub tasks: u32,
+    /// For a later holder that finds an attempt of it still on a machine. Records of
+    /// earlier versions lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub footprint: Option<Footprint>,
+}
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::fleet::MachineType;
 use crate::settings::tests::settings;
 
 pub fn body() -> serde_json::Value {
