--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -70,6 +70,9 @@
 const COLLECT_EVERY: Micros = Micros::from_millis(3_000);
 /// Without a reading of the store for so long, questions are refused at once.
 const STALE: Micros = Micros::from_millis(3_000);
+/// Without a reading for so long, a controller is unhealthy if a peer has one. Longer than
+/// [`STALE`], so that in an outage all have told that they lost the store, too.
+const UNHEALTHY_AFTER: Micros = Micros::from_millis(5_500);
 const SILENT_PEER: Micros = Micros::from_millis(5_000);
 /// Cancellations that are remembered until our reading has come so far.
 const MOST_CANCELLED: usize = 4_096;
@@ -397,7 +400,7 @@
         if !self.mirror.loaded {
             return false;
         }
-        if self.store_ok(now) {
+        if now.since(self.read) < UNHEALTHY_AFTER {
             return true;
         }
         let mut fresh = self
@@ -412,7 +415,7 @@
     }
 
     fn store_ok(&self, now: Micros) -> bool {
-        now.since(self.read) < Micros::from_millis(5_500)
+        self.mirror.loaded && now.since(self.read) < STALE
     }
 
     /// Whether a member shows signs of life and hears its workers.
@@ -423,7 +426,8 @@
         let joined = self.joined.get(label).map_or(Micros::ZERO, |(_, at)| *at);
         match self.peers.get(label) {
             Some((at, news)) => {
-                now.since((*at).max(joined)) < SILENT_PEER && (news.hears_workers || joined > *at)
+                let able = news.hears_workers && news.store_ok;
+                now.since((*at).max(joined)) < SILENT_PEER && (able || joined > *at)
             }
             None => now.since(joined) < SILENT_PEER,
         }
@@ -481,6 +485,7 @@
             out.push(Effect::Cloud(CloudRequest::Types));
         }
         if !self.acting(now) {
+            self.tell_alive(now, out);
             return;
         }
         self.lead(now, out);
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -192,6 +192,26 @@
         self.held.values().map(news).collect()
     }
 
+    fn peer_state(&self, now: Micros, blocks: Vec<BlockState>) -> Effect {
+        Effect::Mesh(Message::PeerState(PeerState {
+            from: self.settings.label.clone(),
+            incarnation: self.member.incarnation().unwrap_or_default(),
+            store_ok: self.store_ok(now),
+            hears_workers: now >= self.partitioned_until,
+            blocks,
+        }))
+    }
+
+    /// Tells the peers that we are there, and nothing of the blocks. Guards against an
+    /// outage of the store in which all controllers stop acting, think that they are alone,
+    /// and turn unhealthy: users were not even refused.
+    pub(super) fn tell_alive(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now.since(self.last_told) >= TELL_EVERY {
+            self.last_told = now;
+            out.push(self.peer_state(now, Vec::new()));
+        }
+    }
+
     /// Tells the peers, gives up what is idle, and writes the sums.
     pub(super) fn tell(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
         if now.since(self.last_told) < TELL_EVERY {
@@ -210,13 +230,7 @@
                 h.condemn(&n.dead);
             }
         }
-        out.push(Effect::Mesh(Message::PeerState(PeerState {
-            from: self.settings.label.clone(),
-            incarnation: self.member.incarnation().unwrap_or_default(),
-            store_ok: self.store_ok(now),
-            hears_workers: now >= self.partitioned_until,
-            blocks,
-        })));
+        out.push(self.peer_state(now, blocks));
         let all = self.all_block_states(now);
         let until = self.member.acts_until(self.read);
         for (b, h) in &mut self.held {
--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -387,6 +387,29 @@
     assert_eq!(w.ended("j-1"), Some(Standing::Done));
 }
 
+/// Seen as 2,244 connections that found no healthy controller in an outage of 70 s.
+#[test]
+fn in_a_long_outage_controllers_that_hear_each_other_stay_healthy() {
+    let mut w = started(3, 2);
+    let healthy = |w: &World| -> Vec<bool> { w.nodes.iter().map(|n| n.view.healthy).collect() };
+    assert_eq!(healthy(&w), vec![true; 3]);
+    w.store.down = true;
+    for _ in 0..60 {
+        w.pass(1.0);
+        assert_eq!(healthy(&w), vec![true; 3], "nobody gains from a removal");
+    }
+    // One that is also cut from its peers can't tell that from a cut of its own.
+    w.nodes[0].no_peers = true;
+    w.pass(5.0);
+    assert_eq!(healthy(&w), vec![false, true, true]);
+    // With the store back for the others, it is the odd one out.
+    w.nodes[0].no_peers = false;
+    w.nodes[0].refused = true;
+    w.store.down = false;
+    w.pass(8.0);
+    assert_eq!(healthy(&w), vec![false, true, true]);
+}
+
 #[test]
 fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
     let mut w = started(3, 3);
