--- a/src/controller/tests/fleet.rs
+++ b/src/controller/tests/fleet.rs
@@ -26,6 +26,29 @@
 }
 
 /// Nothing is decided from a silence that was the holder's own.
+/// While work waits for machines that do not come up, they are paid for.
+#[test]
+fn machines_that_never_come_up_are_replaced_and_not_rented_twice_for_one_need() {
+    let mut w = World::new(1, 0);
+    w.renting = true;
+    w.pass(3.0);
+    w.submit(&desc("j-1", 8));
+    while w.workers.is_empty() {
+        w.pass(0.1);
+    }
+    w.pass(2.0);
+    let rented = w.workers.len();
+    w.keep_booting();
+    // Two and a half times as long as they take, and ten seconds more.
+    w.pass(80.0);
+    assert_eq!(w.workers.len(), rented, "they may still come up");
+    assert!(w.returned.is_empty(), "{:?}", w.returned);
+    w.pass(15.0);
+    assert_eq!(w.returned.len(), rented, "given up, and paid for no longer");
+    w.pass(10.0);
+    assert_eq!(w.all_running(), 8, "on those rented instead");
+}
+
 #[test]
 fn after_a_standstill_nothing_is_returned_handed_back_or_started_unheard() {
     let mut w = started(2, 4);
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -318,6 +318,8 @@
     /// The cloud has machines to rent, up after three seconds.
     pub renting: bool,
     rented: BTreeMap<String, Vec<MachineId>>,
+    /// Machines that do not come up, and since when they have been booting.
+    pub booting: BTreeMap<MachineId, Micros>,
     /// When users were told that a job is cancelled.
     pub cancelled: BTreeMap<JobId, Micros>,
     /// Which attempt numbers were launched, and where: they never repeat.
@@ -386,6 +388,7 @@
             cloud_down: false,
             renting: false,
             rented: BTreeMap::new(),
+            booting: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             attempts: BTreeMap::new(),
             idle_return: secs(10_000.0),
@@ -542,8 +545,15 @@
                             build: w.build.into(),
                             zone: w.zone.into(),
                             spot: false,
-                            standing: CloudStanding::Running,
-                            age_s: 1.0,
+                            standing: if self.booting.contains_key(&w.id) {
+                                CloudStanding::Booting
+                            } else {
+                                CloudStanding::Running
+                            },
+                            age_s: self
+                                .booting
+                                .get(&w.id)
+                                .map_or(1.0, |at| self.now.since(*at).as_secs()),
                         })
                         .collect(),
                 )
@@ -729,6 +739,15 @@
         }
     }
 
+    /// All machines that have not reported yet never will: they do not come up.
+    pub fn keep_booting(&mut self) {
+        let new = self.workers.iter_mut().filter(|w| w.sequence == 0);
+        for w in new {
+            w.hung = true;
+            self.booting.insert(w.id.clone(), self.now);
+        }
+    }
+
     /// The worker's process begins anew: it has forgotten everything.
     pub fn reborn(&mut self, at: usize) {
         let now = self.now;
