--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -3,6 +3,7 @@
 mod connection_limiter;
 pub mod read_index;
 
+use crate::blocks::FormatLevel;
 use crate::clock::{Steady, time_of_day};
 use crate::controller::messages::{Answer, View};
 use crate::controller::{Arrived, Cancelled, Question, StatusQuery};
@@ -172,6 +173,9 @@
             Ok(job) => job,
             Err(refusal) => return refused(refusal),
         };
+        if let Err(told) = self.check_dependencies(&job).await {
+            return self.unless_known(&job.id, told).await;
+        }
         for _ in 0..TRIES {
             let view = self.ports.view.borrow().clone();
             let Some(types) = &view.types else {
@@ -223,6 +227,45 @@
         self.unless_known(&job.id, told).await
     }
 
+    /// Whether all jobs that a submission names were accepted, by any node, and whether a
+    /// job that names others can be taken at all yet.
+    async fn check_dependencies(&self, job: &JobDesc) -> Result<(), UserAnswer> {
+        if job.dependencies.is_empty() {
+            return Ok(());
+        }
+        // What can never be recorded need not be looked up, however much it names.
+        job.recordable(&self.settings).map_err(refused)?;
+        if self.ports.view.borrow().format < FormatLevel::DEPENDENCIES {
+            let why = "not every controller can take jobs that need others yet";
+            return Err(UserAnswer::Unavailable(why));
+        }
+        for id in &job.dependencies {
+            match self.accepted(id).await {
+                Some(true) => {}
+                Some(false) => {
+                    let why = format!("it names {id}, which was never accepted");
+                    return Err(refused(Refusal::NeverRuns(why)));
+                }
+                None => return Err(NO_STORE),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a job was accepted; none: it can't be told now. Two reads of its own, since
+    /// the mirror may lag behind what another node accepted a moment ago, and in this
+    /// order, since jobs only ever move from live to ended.
+    async fn accepted(&self, id: &JobId) -> Option<bool> {
+        for key in [keys::job(id), keys::ended(id)] {
+            match self.ask(Ask::Get { key }).await {
+                Reply::Found(_) => return Some(true),
+                Reply::Missing => {}
+                _ => return None,
+            }
+        }
+        Some(false)
+    }
+
     /// The answer to a submission that can't be taken. Guards against a refusal of what
     /// was accepted before, by whichever node and however the types, the team's block or
     /// the store are now: a repeat is told how the job stands.
@@ -272,6 +315,7 @@
                 standing: Standing::Cancelled,
                 tasks,
                 footprint: Some(footprint),
+                at: Some(time_of_day()),
             };
             let conds = vec![
                 cond(keys::job(&id), revision),
--- a/src/api/read_index.rs
+++ b/src/api/read_index.rs
@@ -9,6 +9,8 @@
 
 use crate::clock::Micros;
 use crate::ids::{JobId, Revision};
+use crate::jobs::dependencies::DependencyGraph;
+use crate::jobs::ranges::RangeSet;
 use crate::jobs::{EndedRecord, Footprint, Standing};
 use crate::store::Reply;
 use crate::store::mirror::Mirror;
@@ -96,7 +98,12 @@
     }
 
     /// The mirror has reached what a reading asked for at `sent` gave.
-    pub fn reading(&mut self, sent: Micros, mirror: &Mirror) -> Vec<Effect> {
+    pub fn reading(
+        &mut self,
+        sent: Micros,
+        mirror: &Mirror,
+        dependencies: &DependencyGraph,
+    ) -> Vec<Effect> {
         let mut out = Vec::new();
         for q in std::mem::take(&mut self.waiting) {
             if q.at > sent {
@@ -107,7 +114,13 @@
             if let Some(rec) = self.ended.get(&q.id) {
                 out.push(Effect::Found(q.ticket, Found::Ended(rec.clone())));
             } else if let Some(found) = live(&q.id, mirror) {
-                out.push(Effect::Found(q.ticket, found));
+                match dependencies.is_cancelled(&q.id) {
+                    Some(false) => out.push(Effect::Found(q.ticket, found)),
+                    Some(true) => out.push(Effect::Found(q.ticket, cancelled(found))),
+                    // Guards against an answer that goes back: another node may have told
+                    // that it is cancelled with the one whose end is being read here.
+                    None => self.waiting.push(q),
+                }
             } else {
                 out.extend(self.read_record(q, sent));
             }
@@ -177,9 +190,10 @@
 
 fn live(id: &JobId, mirror: &Mirror) -> Option<Found> {
     let (revision, rec) = mirror.jobs.get(id)?;
-    let (mut done, mut running) = (0, 0);
+    let mut running = 0;
+    let mut done = RangeSet::default();
     for (_, _, page) in mirror.progress(id) {
-        done += page.done.iter().map(|(a, b)| b - a).sum::<u32>();
+        page.done.iter().for_each(|(a, b)| done.add(*a, *b));
         running += page.running;
     }
     Some(Found::Live {
@@ -191,10 +205,25 @@
         },
         tasks: rec.desc.tasks,
         footprint: rec.desc.footprint(),
-        done,
+        done: done.len(),
         running,
     })
 }
 
+/// A job that is cancelled with one before it, whether or not its own end is stored yet.
+fn cancelled(found: Found) -> Found {
+    match found {
+        Found::Live {
+            tasks, footprint, ..
+        } => Found::Ended(EndedRecord {
+            standing: Standing::Cancelled,
+            tasks,
+            footprint: Some(footprint),
+            at: None,
+        }),
+        found => found,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/api/read_index/tests.rs
+++ b/src/api/read_index/tests.rs
@@ -11,8 +11,11 @@
     let mirror = Mirror::default();
     assert_eq!(d.ask(secs(2.0), "j-1".into(), 7, true), None);
     // Begun before: another node may have accepted the job in between.
-    assert_eq!(d.reading(secs(1.9), &mirror), vec![]);
-    let read = d.reading(secs(2.1), &mirror);
+    assert_eq!(
+        d.reading(secs(1.9), &mirror, &DependencyGraph::default()),
+        vec![]
+    );
+    let read = d.reading(secs(2.1), &mirror, &DependencyGraph::default());
     assert_eq!(read, vec![Effect::ReadEnded("j-1".into())]);
     let told = d.ended("j-1".into(), &Reply::Missing);
     assert_eq!(told, vec![Effect::Found(7, Found::Nothing)]);
@@ -34,13 +37,16 @@
         told.iter().filter_map(ticket).collect()
     };
     d.ask(secs(2.0), id(), 7, true);
-    let read = d.reading(secs(2.1), &mirror);
+    let read = d.reading(secs(2.1), &mirror, &DependencyGraph::default());
     assert_eq!(read, vec![Effect::ReadEnded(id())]);
     d.ask(secs(2.5), id(), 8, true);
-    assert_eq!(d.reading(secs(2.6), &mirror), vec![]);
+    assert_eq!(
+        d.reading(secs(2.6), &mirror, &DependencyGraph::default()),
+        vec![]
+    );
     let told = d.ended(id(), &Reply::Missing);
     assert_eq!(told, vec![Effect::Found(7, Found::Nothing)]);
-    let read = d.reading(secs(2.9), &mirror);
+    let read = d.reading(secs(2.9), &mirror, &DependencyGraph::default());
     assert_eq!(read, vec![Effect::ReadEnded(id())]);
     let row = Row {
         key: "ended/j-1".into(),
@@ -50,16 +56,19 @@
     assert_eq!(found(&d.ended(id(), &Reply::Found(row))), vec![8]);
     // Who came while that was read needs no further read.
     d.ask(secs(3.0), "j-2".into(), 9, true);
-    d.reading(secs(3.1), &mirror);
+    d.reading(secs(3.1), &mirror, &DependencyGraph::default());
     d.ask(secs(3.2), "j-2".into(), 10, true);
-    d.reading(secs(3.3), &mirror);
+    d.reading(secs(3.3), &mirror, &DependencyGraph::default());
     let row = Row {
         key: "ended/j-2".into(),
         value: serde_json::json!({"standing": "done", "tasks": 4}),
         revision: Revision(6),
     };
     assert_eq!(found(&d.ended("j-2".into(), &Reply::Found(row))), vec![9]);
-    assert_eq!(found(&d.reading(secs(3.4), &mirror)), vec![10]);
+    assert_eq!(
+        found(&d.reading(secs(3.4), &mirror, &DependencyGraph::default())),
+        vec![10]
+    );
 }
 
 #[test]
@@ -81,7 +90,7 @@
         assert_eq!(d.ask(secs(2.0), "j-1".into(), t, true), None);
         assert_eq!(d.ask(secs(2.0), "j-2".into(), 100 + t, true), None);
     }
-    let told = d.reading(secs(2.0), &mirror);
+    let told = d.reading(secs(2.0), &mirror, &DependencyGraph::default());
     let reads = told.iter().filter(|e| matches!(e, Effect::ReadEnded(_)));
     assert_eq!(
         (told.len(), reads.count()),
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -50,6 +50,7 @@
         types: Some(Arc::new(types())),
         teams: vec![(BlockId(0), Revision(3), Term(1)); 2],
         healthy: true,
+        format: FormatLevel::NEWEST,
     }
 }
 
@@ -68,6 +69,7 @@
         standing,
         tasks: 4,
         footprint: None,
+        at: None,
     })
 }
 
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -12,7 +12,8 @@
 use crate::fairness::{Resources, Weights};
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
-use crate::jobs::{Job, page_tasks};
+use crate::jobs::dependencies::{DependencyGraph, Readiness};
+use crate::jobs::{Job, Standing, page_tasks};
 use crate::placement::{
     self, ComingMachines, ConstrainedDemand, Need, Queues, Recovery, SchedulingSnapshot,
     SilentMachines,
@@ -31,8 +32,10 @@
 pub enum Write {
     /// Jobs that are over.
     Ends {
-        /// The jobs.
-        ids: Vec<JobId>,
+        /// How each of them ended.
+        ends: Vec<(JobId, Standing)>,
+        /// Time of day that is recorded with it.
+        at: Micros,
         /// Attempts to be reaped once it is stored.
         reap: Vec<(MachineId, AttemptKey)>,
     },
@@ -171,7 +174,7 @@
     ) -> Self {
         let teams: Vec<usize> = rec.teams.iter().filter_map(|t| settings.team(t)).collect();
         // All blocks together leave most changes to what can't wait.
-        let rate = settings.platform.state.write_rps / policy.blocks(settings) as f64;
+        let rate = settings.platform.state.lasting_write_rps() / policy.blocks(settings) as f64;
         Holder {
             block,
             term: rec.term,
@@ -339,6 +342,7 @@
         }
         let page = page_tasks(self.settings.platform.state.value_kb);
         let mut job = Job::new(rec, *revision, team, page);
+        job.limit_values(self.settings.platform.state.lasting_value_bytes());
         job.starts_within = self.settings.starts_within(&rec.desc.class);
         job.choose(self.policy.job(&rec.desc));
         for (n, revision, rec) in mirror.progress(id) {
@@ -350,6 +354,34 @@
         self.pass_pending = true;
     }
 
+    /// The dependency graph changed: which jobs may start, which are cancelled with one
+    /// before them, and what they have from those that need them.
+    pub fn sync_dependencies(&mut self, graph: &DependencyGraph) {
+        for (id, job) in &mut self.jobs {
+            self.pass_pending |= job.inherit(graph.inherited(id));
+            if job.desc.dependencies.is_empty() || job.ended {
+                continue;
+            }
+            let readiness = graph.readiness(id);
+            if !job.set_readiness(&readiness) {
+                continue;
+            }
+            self.pass_pending = true;
+            match readiness {
+                Readiness::Ready(_) => {
+                    tracing::info!(block = %self.block, job = %id, "all jobs before it are done");
+                }
+                Readiness::Waiting(on) => {
+                    tracing::info!(block = %self.block, job = %id, %on, "waits for a job before it");
+                }
+                Readiness::Cancelled => {
+                    tracing::info!(block = %self.block, job = %id, "cancelled with a job before it");
+                    self.dirty.insert(id.clone());
+                }
+            }
+        }
+    }
+
     /// A page of a job's progress changed: by our own write, one without an answer
     /// included.
     pub fn sync_page(&mut self, id: &JobId, page: u32, mirror: &Mirror) {
@@ -538,7 +570,7 @@
         }
         self.count_unconfirmed(now);
         // Back-off ends, slack shrinks, and machines change without any message.
-        self.pass_pending |= self.jobs.values().any(|j| !j.waiting.is_empty());
+        self.pass_pending |= self.jobs.values().any(Job::wants_machines);
     }
 
     /// The room that waiting work lacks.
@@ -580,10 +612,11 @@
         let up = cores(&mut self.machines.values().filter(usable));
         let booting = cores(&mut self.machines.values().filter(|m| m.last_heard.is_none()));
         let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
-        for j in self.jobs.values().filter(|j| !j.ended) {
+        for j in self.jobs.values().filter(|j| j.wants_machines()) {
             *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
         }
-        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, late_ticks = self.late_ticks, "use");
+        let behind_others = self.jobs.values().filter(|j| !j.is_ready()).count();
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), behind_others, pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, late_ticks = self.late_ticks, "use");
     }
 
     /// Each team's heaviness, for the sums; they are made anew from the machines'
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -22,14 +22,14 @@
 
 impl Holder {
     /// Batches of job changes for the store: ends at once, then progress.
-    pub fn writes(&mut self, now: Micros) -> Vec<Effect> {
+    pub fn writes(&mut self, now: Micros, day: Micros) -> Vec<Effect> {
         let dirty: Vec<JobId> = self.dirty.iter().cloned().collect();
         let (mut ends, mut due) = (Vec::new(), Vec::new());
         for id in dirty {
             match self.jobs.get(&id) {
                 Some(job) if !job.ended => {
                     if job.wants_write(now) {
-                        if job.all_done() {
+                        if job.is_over() {
                             ends.push(id);
                         } else {
                             due.push((job.only_display(), job.write_after, id));
@@ -44,7 +44,7 @@
             }
         }
         let mut out = Vec::new();
-        out.extend(self.write_ends(ends));
+        out.extend(self.write_ends(day, ends));
         due.sort();
         out.extend(self.write_progress(now, due));
         out
@@ -54,25 +54,30 @@
         cond(keys::holder(self.block), self.revision)
     }
 
-    fn write_ends(&mut self, ends: Vec<JobId>) -> Option<Effect> {
+    fn write_ends(&mut self, day: Micros, over: Vec<JobId>) -> Option<Effect> {
         let budget = self.settings.most_changes();
-        let (mut ids, mut reap) = (Vec::new(), Vec::new());
+        let (mut ends, mut reap) = (Vec::new(), Vec::new());
         let (mut conds, mut ops) = (vec![self.own()], Vec::new());
-        for id in ends {
+        for id in over {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             if ops.len() + 3 > budget {
                 break;
             }
-            let (c, o) = job.end_ops(budget - ops.len());
+            let (c, o) = job.end_ops(day, budget - ops.len());
             conds.extend(c);
             ops.extend(o);
             job.writing = true;
             reap.extend(self.unreaped.remove(&id).unwrap_or_default());
-            ids.push(id);
+            ends.push((id, job.end_standing()));
         }
-        (!ids.is_empty()).then_some(Effect::Txn(Write::Ends { ids, reap }, conds, ops))
+        let write = Write::Ends {
+            at: day,
+            reap,
+            ends,
+        };
+        (!ops.is_empty()).then_some(Effect::Txn(write, conds, ops))
     }
 
     fn write_progress(&mut self, now: Micros, due: Vec<(bool, Micros, JobId)>) -> Option<Effect> {
@@ -113,14 +118,14 @@
     /// Takes in the store's answer to a write.
     pub fn stored(&mut self, now: Micros, write: Write, reply: &Reply) {
         match write {
-            Write::Ends { ids, reap } => {
-                for id in &ids {
+            Write::Ends { ends, reap, .. } => {
+                for (id, standing) in &ends {
                     self.job_stored(now, id, &[], reply);
                     if let Some(job) = self.jobs.get_mut(id)
                         && matches!(reply, Reply::Committed(_))
                     {
                         job.ended = true;
-                        tracing::info!(block = %self.block, job = %id, "job done");
+                        tracing::info!(block = %self.block, job = %id, ?standing, "job is over");
                     }
                 }
                 self.reap(reap, reply);
@@ -224,8 +229,21 @@
     ) -> Option<Effect> {
         let (mut ids, mut conds, mut ops, mut bytes) = (vec![], vec![self.own()], vec![], 0);
         let most = self.settings.most_changes();
+        let value_bytes = self.settings.platform.state.lasting_value_bytes();
+        let mut free = mirror.free_shards(self.block);
         for (n, revision, old) in mirror.shards(self.block) {
-            if ops.len() >= most || bytes > TXN_BYTES {
+            let oversize = old.is_oversize(value_bytes);
+            // What an earlier version wrote under a higher limit is written in parts, and
+            // in one transaction: a machine is in one of them at any time.
+            let parts = if oversize {
+                (**old).clone().split(value_bytes).len()
+            } else {
+                1
+            };
+            if parts > most {
+                continue;
+            }
+            if ops.len() + parts > most || bytes > TXN_BYTES {
                 break;
             }
             let mut new: Option<MachinesRecord> = None;
@@ -242,11 +260,19 @@
                     ids.push(id.clone());
                 }
             }
-            if let Some(new) = new {
+            let Some(new) = new else { continue };
+            bytes += new.size();
+            let parts = if oversize {
+                new.split(value_bytes)
+            } else {
+                vec![new]
+            };
+            let at = std::iter::once((n, revision));
+            let further = (&mut free).map(|n| (n, Revision(0)));
+            for ((n, revision), part) in at.chain(further).zip(parts) {
                 let key = keys::machines(self.block, n);
-                bytes += new.size();
                 conds.push(cond(key.clone(), revision));
-                ops.push(store::set(key, &new));
+                ops.push(store::set(key, &part));
             }
         }
         if ids.is_empty() {
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -63,7 +63,7 @@
         }
     }
     // A transaction takes only so many changes; the rest follow in the next.
-    open.truncate((settings.platform.state.txn_ops - 2).min(8));
+    open.truncate((settings.platform.state.lasting_txn_ops() - 2).min(8));
     if open.is_empty() || load.is_empty() {
         return None;
     }
--- a/src/blocks/leader/tests.rs
+++ b/src/blocks/leader/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::blocks::{LeaderRecord, MemberRecord};
+use crate::blocks::{FormatLevel, LeaderRecord, MemberRecord};
 use crate::ids::LeaseId;
 use crate::settings::tests::settings;
 
@@ -20,6 +20,7 @@
         let rec = MemberRecord {
             addr: String::new(),
             lease_id: LeaseId(*revision),
+            format: FormatLevel::NEWEST,
         };
         m.members
             .insert(Label::from(*label), (Revision(*revision), rec));
--- a/src/blocks/member.rs
+++ b/src/blocks/member.rs
@@ -1,6 +1,6 @@
 //! This controller's own membership: its lease, and how long it may act.
 
-use super::MemberRecord;
+use super::{FormatLevel, MemberRecord};
 use crate::clock::Micros;
 use crate::ids::{Label, LeaseId, Revision};
 use crate::store::{self, Reply, Request, cond, keys};
@@ -68,6 +68,7 @@
                 let rec = MemberRecord {
                     addr: self.addr.clone(),
                     lease_id: *lease_id,
+                    format: FormatLevel::NEWEST,
                 };
                 let key = keys::member(&self.label);
                 Request::Txn {
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -25,6 +25,34 @@
     /// The lease that its key is attached to.
     #[serde(rename = "tenure")]
     pub lease_id: LeaseId,
+    /// The newest format that it understands. Records of earlier versions lack it.
+    #[serde(default, skip_serializing_if = "FormatLevel::is_first")]
+    pub format: FormatLevel,
+}
+
+/// Which records and requests a version understands. A new level is used only once every
+/// controller has been seen with it; the store remembers that, and the level never falls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct FormatLevel(pub u32);
+
+impl FormatLevel {
+    /// Jobs may name others that have to be done before them. A version of an earlier
+    /// level would start them at once.
+    pub const DEPENDENCIES: FormatLevel = FormatLevel(1);
+    /// The newest level that this version understands.
+    pub const NEWEST: FormatLevel = FormatLevel::DEPENDENCIES;
+
+    fn is_first(&self) -> bool {
+        *self == FormatLevel::default()
+    }
+}
+
+/// The format level that every controller understands.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    /// The level.
+    pub level: FormatLevel,
 }
 
 /// Who leads.
@@ -123,10 +151,38 @@
 
     /// Whether one more fits without coming near what a value may hold.
     pub fn has_room(&self, rec: &MachineRecord, value_bytes: usize) -> bool {
-        self.0.is_empty() || self.size() + rec.size() <= SHARD_BYTES.min(value_bytes / 2)
+        self.0.is_empty() || self.size() + rec.size() <= most_shard_bytes(value_bytes)
     }
+
+    /// Whether it is too large to be written under this limit. An earlier version may
+    /// have written it under a higher one.
+    pub fn is_oversize(&self, value_bytes: usize) -> bool {
+        self.0.len() > 1 && self.size() > most_shard_bytes(value_bytes)
+    }
+
+    /// In parts that each can be written under this limit.
+    pub fn split(self, value_bytes: usize) -> Vec<MachinesRecord> {
+        let mut parts = vec![MachinesRecord::default()];
+        for (id, rec) in self.0 {
+            let last = parts.len() - 1;
+            if parts[last].has_room(&rec, value_bytes) {
+                parts[last].0.insert(id, rec);
+            } else {
+                parts.push(MachinesRecord(BTreeMap::from([(id, rec)])));
+            }
+        }
+        parts
+    }
+}
+
+/// What a shard may hold where a value holds so much.
+fn most_shard_bytes(value_bytes: usize) -> usize {
+    SHARD_BYTES.min(value_bytes - value_bytes / SPARE_PART)
 }
 
+/// One part in so many of a value stays free, since sizes are estimates.
+const SPARE_PART: usize = 8;
+
 /// A rental that was decided, recorded before the cloud is asked: a successor
 /// repeats it under the same name instead of renting again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -8,13 +8,15 @@
 use crate::blocks::holder::{self, Holder};
 use crate::blocks::lease::Lease;
 use crate::blocks::member::Member;
-use crate::blocks::{LeaderRecord, leader};
+use crate::blocks::{FormatLevel, FormatRecord, LeaderRecord, leader};
 use crate::clock::Micros;
 use crate::controller::messages::{Answer, DirectAnswer, Effect, Input, StoreOperation, View};
 use crate::fairness::Resources;
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest};
 use crate::ids::{BlockId, JobId, Label, Revision, Term};
+use crate::jobs::Standing;
+use crate::jobs::dependencies::{DependencyGraph, JobEnd};
 use crate::mesh::{BlockState, Message, PeerState};
 use crate::placement::Need;
 use crate::policy::Policy;
@@ -41,6 +43,11 @@
     manager: Manager,
     held: BTreeMap<BlockId, Holder>,
     read_index: ReadIndex,
+    dependencies: DependencyGraph,
+    /// A block has come to us, and its jobs know nothing of the graph yet.
+    dependencies_unsynced: bool,
+    /// The newest format that each controller was seen with.
+    formats: BTreeMap<Label, FormatLevel>,
     types: Option<Types>,
     peers: BTreeMap<Label, (Micros, PeerState)>,
     joined: BTreeMap<Label, (Revision, Micros)>,
@@ -99,6 +106,9 @@
             member,
             held: BTreeMap::new(),
             read_index: ReadIndex::default(),
+            dependencies: DependencyGraph::default(),
+            dependencies_unsynced: false,
+            formats: BTreeMap::new(),
             types: None,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
@@ -137,6 +147,7 @@
                 // Guards against a picture made anew under the same term: its tokens
                 // and attempts would repeat, and copies of old reports would count.
                 let before: Vec<BlockId> = self.held.keys().copied().collect();
+                self.dependencies.reload(now, &self.mirror.jobs);
                 self.changed(now, &mut out);
                 let types = self.types.clone().unwrap_or_default();
                 for b in before {
@@ -145,8 +156,9 @@
                     }
                 }
                 self.stop_cancelled();
-                let asked = self.read_index.reading(sent, &self.mirror);
-                out.extend(asked.into_iter().map(read_index_effect));
+                self.dependencies_unsynced = true;
+                self.sync_dependencies(now, &mut out);
+                self.answer_reading(sent, &mut out);
             }
             Input::Changes { log, ledger, sent } => self.changes(now, log, ledger, sent, &mut out),
             Input::Stored { tag, reply } => self.stored(now, tag, &reply, &mut out),
@@ -177,6 +189,8 @@
             Input::Cloud { request, reply } => self.cloud(now, request, reply, &mut out),
             Input::Mesh(message) => self.hear(now, message),
             Input::Cancelled { job, revision } => {
+                self.dependencies.end_stored(&job, JobEnd::Cancelled);
+                self.sync_dependencies(now, &mut out);
                 self.cancelled(job.clone(), revision);
                 out.push(Effect::Mesh(Message::Cancelled { job, revision }));
             }
@@ -227,7 +241,7 @@
             h.tick(now, day, fleet);
             let term = h.term;
             let mut effects = h.directs(now);
-            effects.extend(h.writes(now));
+            effects.extend(h.writes(now, day));
             effects.extend(h.reads(now));
             effects.extend(h.open(now, &self.mirror));
             out.extend(
@@ -289,8 +303,10 @@
             }
         }
         self.seen = Revision(ledger.max(self.seen.0));
-        let asked = self.read_index.reading(sent, &self.mirror);
-        out.extend(asked.into_iter().map(read_index_effect));
+        for id in &jobs {
+            self.dependencies.sync_job(now, id, &self.mirror.jobs);
+        }
+        self.answer_reading(sent, out);
         if quiet {
             return;
         }
@@ -312,6 +328,28 @@
             }
         }
         self.stop_cancelled();
+        self.sync_dependencies(now, out);
+    }
+
+    fn answer_reading(&mut self, sent: Micros, out: &mut Vec<Effect>) {
+        let asked = self
+            .read_index
+            .reading(sent, &self.mirror, &self.dependencies);
+        out.extend(asked.into_iter().map(read_index_effect));
+    }
+
+    /// The held blocks learn what changed in the dependency graph, and ends that it lacks
+    /// are read.
+    fn sync_dependencies(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let changed = self.dependencies.refresh(&self.mirror.jobs);
+        if std::mem::take(&mut self.dependencies_unsynced) || changed {
+            for h in self.held.values_mut() {
+                h.sync_dependencies(&self.dependencies);
+            }
+        }
+        let reads = self.dependencies.reads(now);
+        let read = |id: JobId| read_ended(StoreOperation::DependencyEnd(id.clone()), &id);
+        out.extend(reads.into_iter().map(read));
     }
 
     /// After the mirror or our membership changed: what we hold, and the view.
@@ -321,7 +359,8 @@
         {
             self.types = Some(Arc::new(t.clone()));
         }
-        for (label, (revision, _)) in &self.mirror.members {
+        for (label, (revision, member)) in &self.mirror.members {
+            self.formats.insert(label.clone(), member.format);
             if self.joined.get(label).is_none_or(|(s, _)| s != revision) {
                 self.joined.insert(label.clone(), (*revision, now));
             }
@@ -357,6 +396,7 @@
                     let mut h = Holder::new(*b, rec, *revision, &self.settings, &self.policy, now);
                     h.take_over(now, &self.mirror, &types);
                     self.held.insert(*b, h);
+                    self.dependencies_unsynced = true;
                 }
             }
             let mut fleet = Resources::default();
@@ -387,6 +427,7 @@
             types: self.types.clone(),
             teams,
             healthy: self.healthy(now),
+            format: self.mirror.format_level(),
         };
         if view != *self.view {
             self.view = Arc::new(view);
@@ -481,6 +522,7 @@
                 .into_iter()
                 .map(read_index_effect),
         );
+        self.sync_dependencies(now, out);
         if self.mirror.loaded && self.types.is_none() && self.claim(now, "types") {
             out.push(Effect::Cloud(CloudRequest::Types));
         }
@@ -542,7 +584,14 @@
                     h.resigned(reply);
                 }
             }
+            StoreOperation::Format => {
+                self.out.remove("format");
+            }
             StoreOperation::Sums | StoreOperation::GarbageCollection => {}
+            StoreOperation::DependencyEnd(id) => {
+                self.dependencies.end_read(now, &id, reply);
+                self.sync_dependencies(now, out);
+            }
             StoreOperation::Ended(id) => {
                 let asked = self.read_index.ended(id, reply);
                 out.extend(asked.into_iter().map(read_index_effect));
@@ -553,9 +602,11 @@
                 }
             }
             StoreOperation::Holder(b, term, write) => {
+                self.ends_stored(&write, reply);
                 if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
                     h.stored(now, write, reply);
                 }
+                self.sync_dependencies(now, out);
             }
             StoreOperation::Manager(leader_revision, write) => {
                 // An earlier leadership's answers mean nothing to this one.
@@ -571,6 +622,20 @@
         }
     }
 
+    /// Ends that the store has confirmed are known without another read.
+    fn ends_stored(&mut self, write: &holder::Write, reply: &Reply) {
+        let (holder::Write::Ends { ends, at, .. }, Reply::Committed(_)) = (write, reply) else {
+            return;
+        };
+        for (id, standing) in ends {
+            let end = match standing {
+                Standing::Done => JobEnd::Done(Some(*at)),
+                _ => JobEnd::Cancelled,
+            };
+            self.dependencies.end_stored(id, end);
+        }
+    }
+
     fn cloud(
         &mut self,
         now: Micros,
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// So many conditions for each change that a transaction may have.
+const CONDS_PER_CHANGE: usize = 4;
+
 impl Core {
     /// The leader clears what ended jobs left behind, a little at a time.
     pub(super) fn tidy(&mut self, now: Micros, out: &mut Vec<Effect>) {
@@ -136,6 +139,7 @@
                 out.push(vital(StoreOperation::Grants, conds, ops));
             }
         }
+        self.raise_format(now, &leader_cond, out);
         if let Some(types) = self.types.clone() {
             if now.since(self.last_types) > Micros::from_millis(60_000) && self.claim(now, "types")
             {
@@ -161,6 +165,36 @@
         }
     }
 
+    /// Records the format level that every controller of the deployment has been seen with,
+    /// once. Guards against a job that is accepted with others before it while a controller
+    /// of an earlier version may still come to hold its block, and would start it at once.
+    fn raise_format(&mut self, now: Micros, leader: &store::Cond, out: &mut Vec<Effect>) {
+        let known = self.mirror.format_level();
+        let seen = |l: &Label| self.formats.get(l).copied().unwrap_or_default();
+        let level = self.settings.controllers().map(seen).min();
+        let Some(level) = level.filter(|l| *l > known) else {
+            return;
+        };
+        if !self.claim(now, "format") {
+            return;
+        }
+        let revision = self.mirror.format.map_or(Revision(0), |(r, _)| r);
+        let mut conds = vec![leader.clone(), cond(keys::FORMAT.into(), revision)];
+        // As many controllers as a transaction can name must be as they were seen.
+        let most = CONDS_PER_CHANGE * self.settings.most_changes() - conds.len();
+        let members = self.settings.controllers().take(most).map(|label| {
+            let member = self.mirror.members.get(label);
+            cond(keys::member(label), member.map_or(Revision(0), |m| m.0))
+        });
+        conds.extend(members);
+        tracing::info!(
+            level = level.0,
+            "every controller has been seen with this format level"
+        );
+        let ops = vec![store::set(keys::FORMAT.into(), &FormatRecord { level })];
+        out.push(vital(StoreOperation::Format, conds, ops));
+    }
+
     /// The newest word on every block, our own included.
     fn all_block_states(&self, now: Micros) -> BTreeMap<BlockId, BlockState> {
         let mut all: BTreeMap<BlockId, BlockState> = BTreeMap::new();
--- a/src/controller/messages.rs
+++ b/src/controller/messages.rs
@@ -1,7 +1,7 @@
 //! What the core is told and what it decides: messages and effects, types only.
 
 use crate::api::read_index::Found;
-use crate::blocks::holder;
+use crate::blocks::{FormatLevel, holder};
 use crate::clock::Micros;
 use crate::fleet::{CloudReply, CloudRequest, MachineType, manager};
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
@@ -35,6 +35,10 @@
     Ended(JobId),
     /// A job that a holder does not know, but a machine of its block shows.
     UnknownJob(BlockId, Term, JobId),
+    /// The record of an ended job that others need.
+    DependencyEnd(JobId),
+    /// The format level that every controller understands.
+    Format,
     /// Clearing what ended jobs left behind.
     GarbageCollection,
     /// A write of the fleet's manager, under this leadership.
@@ -194,4 +198,6 @@
     pub teams: Vec<(BlockId, Revision, Term)>,
     /// Whether users should come to this controller.
     pub healthy: bool,
+    /// The format level that every controller understands.
+    pub format: FormatLevel,
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -89,7 +89,7 @@
         settings.endpoints.state.to_string(),
         STORE_SOCKETS,
     ));
-    let store = Store::new(state_pool, clock, p.state.rps, p.state.write_rps, share);
+    let store = Store::new(state_pool, clock, &p.state, share);
     let cloud = Rc::new(Cloud::new(
         Pool::new(settings.endpoints.cloud.to_string(), CLOUD_SOCKETS),
         clock,
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -1,10 +1,13 @@
 //! Whole days in small. Each test names the failure that it guards against.
 
 mod added;
+mod dependencies;
 mod fleet;
+mod formats;
 mod meetings;
 mod pairs;
 mod size;
+mod state_limits;
 mod world;
 
 use super::messages::{Answer, Input};
--- a/src/controller/tests/pairs.rs
+++ b/src/controller/tests/pairs.rs
@@ -88,6 +88,8 @@
     rng: StdRng,
     plans: Vec<Plan>,
     jobs: Vec<JobId>,
+    /// Whether jobs name others that have to be done before them.
+    chains: bool,
     /// How each job was last said to have ended.
     told: BTreeMap<usize, Standing>,
 }
@@ -96,7 +98,7 @@
 const MACHINES: usize = 6;
 
 impl Day {
-    fn new(seed: u64) -> Day {
+    fn new(seed: u64, chains: bool) -> Day {
         let mut w = World::new(NODES, MACHINES);
         w.renting = true;
         w.task_time = Some(secs(6.0));
@@ -109,6 +111,7 @@
             rng: StdRng::seed_from_u64(seed),
             plans: Vec::new(),
             jobs: Vec::new(),
+            chains,
             told: BTreeMap::new(),
         }
     }
@@ -209,6 +212,15 @@
             }
             _ => {}
         }
+        if self.chains && !self.jobs.is_empty() && self.rng.random_bool(0.6) {
+            // Mostly what was submitted just now, of whatever team and however it stands.
+            let last = self.jobs.len().saturating_sub(4);
+            let before: Vec<JobId> = (0..2)
+                .filter_map(|_| self.jobs[last..].choose(&mut self.rng).cloned())
+                .collect();
+            d.dependencies = before;
+            d.dependencies.dedup();
+        }
         self.jobs.push(d.id.clone());
         self.w.submit(&d);
     }
@@ -266,11 +278,14 @@
                 Found::Nothing => panic!("{id} is forgotten by node {node}"),
                 Found::Live { .. } => {
                     assert_eq!(self.told.get(&n), None, "{id} went back at node {node}");
+                    // Cancellations of this second came before its questions.
+                    let orphaned = self.w.is_cancelled(id);
+                    assert!(!orphaned, "{id} is cancelled, but not at node {node}");
                 }
                 Found::Ended(rec) => {
                     let first = *self.told.entry(n).or_insert(rec.standing);
                     assert_eq!(first, rec.standing, "{id} at node {node}");
-                    let cancelled = self.w.cancelled.contains_key(id);
+                    let cancelled = self.w.is_cancelled(id);
                     assert_eq!(cancelled, rec.standing == Standing::Cancelled, "{id}");
                 }
             }
@@ -348,8 +363,8 @@
 }
 
 /// A pair that overlaps, the second a little after the first.
-fn pair(seed: u64) {
-    let mut day = Day::new(seed);
+fn pair(seed: u64, chains: bool) {
+    let mut day = Day::new(seed, chains);
     let [a, b] = [(); 2].map(|()| *TROUBLES.choose(&mut day.rng).expect("one"));
     for _ in 0..12 {
         day.second(true);
@@ -363,32 +378,52 @@
 }
 
 /// The seeds of one of so many tests, so that they run side by side.
-fn pairs(part: u64) {
+fn pairs(part: u64, chains: bool) {
     let range = std::env::var("PAIRS").ok();
     let range = range.as_deref().and_then(|r| r.split_once(".."));
     let number = |s: &str| s.parse().expect("a number");
     let (from, to) = range.map_or((0, 96), |(a, b)| (number(a), number(b)));
     for seed in (from..to).filter(|s| s % 4 == part) {
-        pair(seed);
+        pair(seed, chains);
     }
 }
 
 #[test]
 fn pairs_of_troubles_break_no_rule_part_1() {
-    pairs(0);
+    pairs(0, false);
 }
 
 #[test]
 fn pairs_of_troubles_break_no_rule_part_2() {
-    pairs(1);
+    pairs(1, false);
 }
 
 #[test]
 fn pairs_of_troubles_break_no_rule_part_3() {
-    pairs(2);
+    pairs(2, false);
 }
 
 #[test]
 fn pairs_of_troubles_break_no_rule_part_4() {
-    pairs(3);
+    pairs(3, false);
+}
+
+#[test]
+fn pairs_of_troubles_break_no_chain_part_1() {
+    pairs(0, true);
+}
+
+#[test]
+fn pairs_of_troubles_break_no_chain_part_2() {
+    pairs(1, true);
+}
+
+#[test]
+fn pairs_of_troubles_break_no_chain_part_3() {
+    pairs(2, true);
+}
+
+#[test]
+fn pairs_of_troubles_break_no_chain_part_4() {
+    pairs(3, true);
 }
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -23,9 +23,26 @@
     Micros::from_secs(s)
 }
 
+/// What the state service takes.
+pub struct StoreLimits {
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+impl Default for StoreLimits {
+    /// As the settings of these tests say.
+    fn default() -> Self {
+        StoreLimits {
+            value_bytes: 16 * 1024,
+            txn_ops: 16,
+        }
+    }
+}
+
 /// A state service in memory, as its page describes it.
 #[derive(Default)]
 pub struct FakeStore {
+    pub limits: StoreLimits,
     pub ledger: u64,
     pub keys: BTreeMap<String, (u64, Value, Option<u64>)>,
     pub leases: BTreeMap<u64, (Micros, Micros)>,
@@ -96,10 +113,11 @@
         Reply::Committed(Revision(self.ledger))
     }
 
-    /// What the settings of these tests allow; a transaction beyond it is malformed.
+    /// A transaction beyond the limits is malformed.
     pub fn check_limits(&mut self, conds: &[Cond], ops: &[Op]) {
+        let most = self.limits.txn_ops;
         assert!(
-            ops.len() <= 16 && conds.len() <= 64,
+            ops.len() <= most && conds.len() <= 4 * most,
             "{} {}",
             ops.len(),
             conds.len()
@@ -108,7 +126,7 @@
         for op in ops {
             if let Op::Set { key, value, .. } = op {
                 let long = value.to_string().len();
-                assert!(long <= 16 * 1024, "{key} has {long} bytes");
+                assert!(long <= self.limits.value_bytes, "{key} has {long} bytes");
                 bytes += long;
             }
         }
@@ -678,6 +696,10 @@
                     w.build,
                     w.zone
                 );
+                for before in &d.dependencies {
+                    let end = self.ended(before.as_str());
+                    assert_eq!(end, Some(Standing::Done), "{task} starts before {before}");
+                }
                 let begins = format!("{}/", task.job);
                 let in_zone = |zone: &str| -> usize {
                     let there = self.alive().filter(|o| o.zone == zone);
@@ -909,6 +931,7 @@
             standing: Standing::Cancelled,
             tasks: 1,
             footprint: self.submitted.get(&id).map(JobDesc::footprint),
+            at: Some(self.now),
         };
         self.cancelled.insert(id.clone(), self.now);
         self.store.commit(vec![
@@ -917,6 +940,16 @@
         ]);
     }
 
+    /// Whether a job was cancelled, itself or with one before it.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        let needs = self.submitted.get(id).map(|d| d.dependencies.as_slice());
+        self.cancelled.contains_key(id)
+            || needs
+                .unwrap_or_default()
+                .iter()
+                .any(|before| self.is_cancelled(before))
+    }
+
     pub fn ended(&self, id: &str) -> Option<Standing> {
         let rec = self.store.keys.get(&keys::ended(&JobId::from(id)))?;
         serde_json::from_value::<EndedRecord>(rec.1.clone())
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -6,7 +6,7 @@
 use super::shards::{Draft, Spread};
 use super::{CloudReply, CloudRequest, CloudStanding, Listed, MachineType};
 use crate::blocks::leader::take_terms;
-use crate::blocks::{Freed, MachineRecord, RentalRecord};
+use crate::blocks::{Freed, MachineRecord, MachinesRecord, RentalRecord};
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::{BlockId, MachineId, Revision};
@@ -28,6 +28,8 @@
     },
     /// Makes an earlier write of machines fail, should it still be on its way.
     Fence,
+    /// A shard is recorded in parts.
+    Split,
     /// A rental that is about to be asked for.
     RentalState {
         /// The rental's name.
@@ -117,6 +119,7 @@
     unfenced: bool,
     /// The mirror must have caught up with this before the next write.
     wait_for: Revision,
+    last_split: Micros,
     /// Requests that lacked room lately.
     shapes: Vec<(Resources, Micros)>,
     /// Room that reports don't show yet, by the rental that brings it.
@@ -127,6 +130,8 @@
 const CREDIT: Micros = Micros::from_millis(3_000);
 const STEP_EVERY: Micros = Micros::from_millis(150);
 const SCAN_EVERY: Micros = Micros::from_millis(800);
+/// Shards are split no faster than this: others need the changes, too.
+const SPLIT_EVERY: Micros = Micros::from_millis(1_200);
 
 /// So many lists without a machine that was listed before.
 const GONE_AFTER: u32 = 2;
@@ -137,7 +142,7 @@
     pub fn new(settings: &Settings, policy: &Policy) -> Self {
         Manager {
             txn_ops: settings.most_changes(),
-            value_bytes: (settings.platform.state.value_kb * 1024.0) as usize,
+            value_bytes: settings.platform.state.lasting_value_bytes(),
             horizon: policy.rent_horizon,
             ..Manager::default()
         }
@@ -188,6 +193,8 @@
         if !self.writing && seen >= self.wait_for {
             if self.unfenced {
                 out.push(self.fence(mirror, leader));
+            } else if let Some(split) = self.split_oversize(now, mirror, leader) {
+                out.push(split);
             } else {
                 out.extend(self.change_machines(mirror, leader, types, news));
             }
@@ -330,6 +337,35 @@
         Effect::Txn(Write::Fence, vec![leader.clone(), term_cond], vec![term_op])
     }
 
+    /// Records a shard in parts that an earlier version wrote under a higher limit, before
+    /// that limit falls: then it could be neither changed nor shrunk any more. Should the
+    /// write be carried out late, it fails if any of these shards has changed since.
+    fn split_oversize(&mut self, now: Micros, mirror: &Mirror, leader: &Cond) -> Option<Effect> {
+        if now.since(self.last_split) < SPLIT_EVERY {
+            return None;
+        }
+        let oversize = |rec: &MachinesRecord| rec.is_oversize(self.value_bytes);
+        let split = mirror
+            .machines
+            .iter()
+            .filter(|(_, (_, rec))| oversize(rec))
+            .map(|(at, (revision, rec))| (*at, *revision, (**rec).clone().split(self.value_bytes)))
+            .find(|(.., parts)| parts.len() <= self.txn_ops);
+        let ((block, shard), revision, parts) = split?;
+        self.last_split = now;
+        self.writing = true;
+        tracing::info!(%block, shard, parts = parts.len(), "a shard is recorded in parts");
+        let further = mirror.free_shards(block).map(|n| (n, Revision(0)));
+        let mut conds = vec![leader.clone()];
+        let mut ops = Vec::new();
+        for ((n, revision), part) in std::iter::once((shard, revision)).chain(further).zip(parts) {
+            let key = keys::machines(block, n);
+            conds.push(cond(key.clone(), revision));
+            ops.push(store::set(key, &part));
+        }
+        Some(Effect::Txn(Write::Split, conds, ops))
+    }
+
     /// One write of the machines' shards: what was rented goes in, what is gone goes
     /// out, what was given up moves on. As much as a transaction takes; the rest
     /// follows in the next, and a crash in between loses nothing: a rental's record
@@ -532,6 +568,12 @@
                     self.wait_for = *revision;
                 }
             }
+            Write::Split => {
+                self.writing = false;
+                if let Reply::Committed(revision) = reply {
+                    self.wait_for = *revision;
+                }
+            }
             Write::RentalState { name, .. } => {
                 let Some((_, state)) = self.rentals.get_mut(&name) else {
                     return;
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -35,10 +35,12 @@
 
     fn shard(&mut self, at: (BlockId, u32), others: usize) -> Option<&mut MachinesRecord> {
         if !self.shards.contains_key(&at) {
-            if self.full(others) {
+            let old = self.mirror.machines.get(&at);
+            // One that is too large to be written is split first, in a write of its own.
+            let oversize = old.is_some_and(|(_, rec)| rec.is_oversize(self.value_bytes));
+            if oversize || self.full(others) {
                 return None;
             }
-            let old = self.mirror.machines.get(&at);
             self.shards.insert(
                 at,
                 old.map_or_else(Default::default, |(_, r)| (**r).clone()),
--- a/src/jobs/description.rs
+++ b/src/jobs/description.rs
@@ -5,10 +5,15 @@
 use crate::fleet::MachineType;
 use crate::ids::JobId;
 use crate::settings::Settings;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// What stands beside a description in its record.
+const RECORD_BYTES: usize = 256;
+/// What a job's id takes in a list besides its characters.
+const ID_BYTES: usize = 3;
 /// A job has no more tasks.
 pub const MOST_TASKS: u32 = 100_000;
 
@@ -93,6 +98,30 @@
     /// The deadline, in seconds from its submission.
     #[serde(rename = "dueS", default)]
     pub due_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each once.
+    #[serde(
+        rename = "hinges",
+        default,
+        deserialize_with = "job_ids",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<JobId>,
+}
+
+/// A list of well-formed job ids, each kept once; null is the empty list.
+fn job_ids<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<JobId>, D::Error> {
+    let named: Vec<JobId> = Option::deserialize(from)?.unwrap_or_default();
+    let mut seen = BTreeSet::new();
+    let mut ids = Vec::new();
+    for id in named {
+        if !id.well_formed() {
+            return Err(D::Error::custom(format!("{id} is no job id")));
+        }
+        if seen.insert(id.clone()) {
+            ids.push(id);
+        }
+    }
+    Ok(ids)
 }
 
 /// An image's name in short. Two names that share one only make a machine look a
@@ -189,6 +218,29 @@
         Ok(job)
     }
 
+    /// Whether its record fits into one value, with what stands beside it, now and under
+    /// the coming limits: a record is written once and never split.
+    pub(crate) fn recordable(&self, settings: &Settings) -> Result<(), Refusal> {
+        let most = settings.platform.state.lasting_value_bytes();
+        let most = most.saturating_sub(RECORD_BYTES);
+        let length = serde_json::to_string(self).map_or(0, |s| s.len());
+        if length <= most {
+            return Ok(());
+        }
+        let per_id = |id: &JobId| id.as_str().len() + ID_BYTES;
+        let named: usize = self.dependencies.iter().map(per_id).sum();
+        let rest = length - named;
+        let Some(room) = most.checked_sub(rest).filter(|_| named > 0) else {
+            let why = "its description is too long to be recorded";
+            return Err(Refusal::NeverRuns(why.into()));
+        };
+        let fitting = room * self.dependencies.len() / named;
+        Err(Refusal::NeverRuns(format!(
+            "it names {} jobs before it, and about {fitting} can be recorded",
+            self.dependencies.len()
+        )))
+    }
+
     /// Whether it can ever run here.
     pub fn admissible(&self, settings: &Settings, types: &[MachineType]) -> Result<(), Refusal> {
         let never = |why: String| Err(Refusal::NeverRuns(why));
@@ -204,11 +256,7 @@
         if !least.fits_in(&settings.platform.teams[team].limit()) {
             return never("one task is over its team's limit".into());
         }
-        // Its record must fit into one value, with what stands beside it.
-        let most = settings.platform.state.value_kb * 1024.0 - 256.0;
-        if serde_json::to_string(self).map_or(0, |s| s.len()) as f64 > most {
-            return never("its description is too long to be recorded".into());
-        }
+        self.recordable(settings)?;
         let fitting = types
             .iter()
             .filter(|t| self.request().fits_in(&t.capacity()));
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs: what users ask for, what is recorded, and where each task stands.
 
+pub mod dependencies;
 mod description;
 pub mod ranges;
 mod records;
@@ -12,6 +13,7 @@
 use crate::ids::{Label, MachineId, Revision, Term};
 use crate::policy::JobChoice;
 use crate::store::{self, Cond, Op, cond, keys};
+use dependencies::{Inherited, Readiness};
 use ranges::RangeSet;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -20,6 +22,12 @@
 const PAGE: u32 = 1024;
 /// What a range may take as JSON, with room for the rest of its record.
 const RANGE_BYTES: f64 = 40.0;
+/// What a page of progress takes besides its ranges.
+const PAGE_BYTES: usize = 128;
+/// What a range takes besides its digits.
+const RANGE_SIGNS: usize = 4;
+/// Further records that each page may be split into where it does not fit into one value.
+const PARTS_PER_PAGE: u32 = 64;
 /// On so many machines a job must fail for it to be the job.
 const FAILS_ON: usize = 3;
 /// Tasks of a failing job that are tried after each back-off.
@@ -66,6 +74,15 @@
     pub team: usize,
     /// Time of day at which it was accepted.
     pub at: Micros,
+    /// Time of day from which its waiting counts: when it was accepted, or when the last
+    /// job before it was done.
+    pub since: Micros,
+    /// All jobs before it are known to be done.
+    ready: bool,
+    /// One before it was cancelled.
+    behind_cancelled: bool,
+    /// What it has from the jobs that need it.
+    inherited: Option<Inherited>,
     /// The term of its team's block then.
     pub born: Term,
     /// Of its record, which never changes while the job lives.
@@ -84,6 +101,8 @@
     pub write_after: Micros,
     /// Tasks in a page.
     page: u32,
+    /// What a value may hold.
+    value_bytes: usize,
     pages: BTreeMap<u32, Revision>,
     dirty: BTreeSet<u32>,
     /// The page after the last one that was written. Guards against pages that are never
@@ -116,6 +135,10 @@
             desc: Rc::new(rec.desc.clone()),
             team,
             at: rec.at,
+            since: rec.at,
+            ready: rec.desc.dependencies.is_empty(),
+            behind_cancelled: false,
+            inherited: None,
             born: rec.born,
             revision,
             done: RangeSet::default(),
@@ -125,6 +148,7 @@
             writing: false,
             write_after: Micros::ZERO,
             page,
+            value_bytes: usize::MAX,
             pages: BTreeMap::new(),
             dirty: BTreeSet::new(),
             next_page: 0,
@@ -140,6 +164,62 @@
         }
     }
 
+    /// Nothing of it is recorded in larger values than this.
+    pub fn limit_values(&mut self, bytes: usize) {
+        self.value_bytes = bytes;
+    }
+
+    /// Takes in how the jobs before it stand, and whether that changed.
+    pub fn set_readiness(&mut self, readiness: &Readiness) -> bool {
+        let before = (self.ready, self.behind_cancelled);
+        match readiness {
+            Readiness::Ready(at) => {
+                self.ready = true;
+                self.since = self.at.max(at.unwrap_or(self.at));
+                self.last_start = self.last_start.max(self.since);
+            }
+            Readiness::Waiting(_) => self.ready = false,
+            Readiness::Cancelled => (self.ready, self.behind_cancelled) = (false, true),
+        }
+        before != (self.ready, self.behind_cancelled)
+    }
+
+    /// Takes in what it has from the jobs that need it, and whether that changed.
+    pub fn inherit(&mut self, inherited: Option<Inherited>) -> bool {
+        let before = std::mem::replace(&mut self.inherited, inherited);
+        before != inherited
+    }
+
+    /// Whether others wait for it that have a deadline.
+    pub fn is_awaited(&self) -> bool {
+        self.inherited.is_some_and(|i| i.due.is_some())
+    }
+
+    /// Whether all jobs before it are known to be done.
+    pub fn is_ready(&self) -> bool {
+        self.ready && !self.behind_cancelled
+    }
+
+    /// Whether it wants machines for tasks of it. Guards against a job that starts before
+    /// those that it names are done, and that takes room, rentals or its turn before then.
+    pub fn wants_machines(&self) -> bool {
+        !self.ended && self.is_ready() && !self.waiting.is_empty()
+    }
+
+    /// Its priority: the highest of its own and of all that need it.
+    pub fn rank(&self) -> Rank {
+        let inherited = self.inherited.map_or(self.desc.rank, |i| i.rank);
+        inherited.max(self.desc.rank)
+    }
+
+    /// The time of day by which it must be done, for its own deadline and for those of the
+    /// jobs that need it.
+    pub fn due(&self) -> Option<Micros> {
+        let own = self.desc.due_s.map(|due| self.at + Micros::from_secs(due));
+        let inherited = self.inherited.and_then(|i| i.due);
+        own.into_iter().chain(inherited).min()
+    }
+
     /// Takes the operators' choice over. It can only narrow what the job allows.
     pub fn choose(&mut self, choice: JobChoice) {
         self.choice = choice;
@@ -173,6 +253,11 @@
         *kept = revision.max(*kept);
     }
 
+    /// Whether its end is to be stored.
+    pub fn is_over(&self) -> bool {
+        self.behind_cancelled || self.all_done()
+    }
+
     /// Whether every task is done.
     pub fn all_done(&self) -> bool {
         self.done.len() == self.desc.tasks
@@ -250,23 +335,33 @@
         !self.ended
             && !self.writing
             && now >= self.write_after
-            && (self.all_done() || !self.dirty.is_empty() || flipped)
+            && (self.is_over() || !self.dirty.is_empty() || flipped)
     }
 
     /// What it has for the store is only whether any of its tasks runs, which users are
     /// shown and nothing depends on.
     pub fn only_display(&self) -> bool {
-        !self.all_done() && self.dirty.is_empty()
+        !self.is_over() && self.dirty.is_empty()
     }
 
-    /// The job's end, in one transaction of at most `most` changes. Pages that are
-    /// left over are litter, which the leader clears.
-    pub fn end_ops(&self, most: usize) -> (Vec<Cond>, Vec<Op>) {
+    /// How it ends.
+    pub fn end_standing(&self) -> Standing {
+        if self.behind_cancelled {
+            Standing::Cancelled
+        } else {
+            Standing::Done
+        }
+    }
+
+    /// The job's end, in one transaction of at most `most` changes. Pages that are left
+    /// over are garbage, which the leader clears.
+    pub fn end_ops(&self, day: Micros, most: usize) -> (Vec<Cond>, Vec<Op>) {
         let id = &self.desc.id;
         let ended = EndedRecord {
-            standing: Standing::Done,
+            standing: self.end_standing(),
             tasks: self.desc.tasks,
             footprint: Some(self.desc.footprint()),
+            at: Some(day),
         };
         let conds = vec![
             cond(keys::job(id), self.revision),
@@ -290,31 +385,91 @@
         // A late write of ours must not undo a later one: each page has its revision.
         let mut conds = vec![cond(keys::job(&id), self.revision)];
         let (mut ops, mut pages) = (Vec::new(), Vec::new());
-        while pages.len() < most {
+        while ops.len() < most {
             let Some(page) = self.take_dirty_page() else {
                 break;
             };
-            let rec = ProgressRecord {
-                owner: Some(owner.clone()),
-                done: self.done.slice(page * self.page, (page + 1) * self.page),
-                running: if page == 0 {
-                    self.running.len() as u32
-                } else {
-                    0
-                },
-            };
+            let records = self.page_records(page, owner);
+            if !ops.is_empty() && ops.len() + records.len() > most {
+                self.dirty.insert(page);
+                self.next_page = page;
+                break;
+            }
             if page == 0 {
                 self.shown_running = !self.running.is_empty();
             }
-            let key = keys::page(&id, page);
-            let revision = self.pages.get(&page).copied().unwrap_or_default();
-            conds.push(cond(key.clone(), revision));
-            ops.push(store::set(key, &rec));
-            pages.push(page);
+            if records.len() > most {
+                // What does not fit now comes with the next write, and is not reaped before.
+                self.dirty.insert(page);
+            }
+            for (number, rec) in records.into_iter().take(most) {
+                let key = keys::page(&id, number);
+                let revision = self.pages.get(&number).copied().unwrap_or_default();
+                conds.push(cond(key.clone(), revision));
+                ops.push(store::set(key, &rec));
+                pages.push(number);
+            }
+            if self.dirty.contains(&page) {
+                break;
+            }
         }
         (conds, ops, pages)
     }
 
+    /// What is recorded of a page: one record, or more where it does not fit into a value.
+    /// Guards against a page that an earlier version wrote under a higher limit, and that
+    /// could never be written again. The further ones have numbers beyond those of all
+    /// pages: readers of every version join what all records say.
+    fn page_records(&self, page: u32, owner: &Label) -> Vec<(u32, ProgressRecord)> {
+        let room = self.value_bytes.saturating_sub(PAGE_BYTES);
+        let mut records = Vec::new();
+        let (mut done, mut bytes) = (Vec::new(), 0);
+        for range in self.done.slice(page * self.page, (page + 1) * self.page) {
+            let length = digits(range.0) + digits(range.1) + RANGE_SIGNS;
+            if bytes + length > room && !done.is_empty() {
+                records.push(std::mem::take(&mut done));
+                bytes = 0;
+            }
+            bytes += length;
+            done.push(range);
+        }
+        records.push(done);
+        let running = if page == 0 {
+            self.running.len() as u32
+        } else {
+            0
+        };
+        let record = |(part, done)| {
+            let rec = ProgressRecord {
+                owner: Some(owner.clone()),
+                done,
+                running: if part == 0 { running } else { 0 },
+            };
+            (self.record_number(page, part), rec)
+        };
+        (0..).zip(records).map(record).collect()
+    }
+
+    fn page_count(&self) -> u32 {
+        self.desc.tasks.div_ceil(self.page)
+    }
+
+    /// The number under which a part of a page is recorded.
+    fn record_number(&self, page: u32, part: u32) -> u32 {
+        match part {
+            0 => page,
+            _ => self.page_count() + page * PARTS_PER_PAGE + part - 1,
+        }
+    }
+
+    /// The page that a record is a part of.
+    fn page_of(&self, number: u32) -> u32 {
+        match number.checked_sub(self.page_count()) {
+            Some(part) => part / PARTS_PER_PAGE,
+            None => number,
+        }
+    }
+
     /// The next page to be written, in turn.
     fn take_dirty_page(&mut self) -> Option<u32> {
         let next = self.dirty.range(self.next_page..).next();
@@ -331,14 +486,15 @@
 
     /// These pages were not written, or may not have been.
     pub fn unwritten(&mut self, pages: &[u32]) {
+        let pages: Vec<u32> = pages.iter().map(|n| self.page_of(*n)).collect();
         self.dirty.extend(pages);
     }
 
     /// Its place among the jobs of one rank.
     pub fn urgency(&self, day: Micros) -> Urgency {
-        if self.desc.due_s.is_none() {
+        if self.due().is_none() {
             return match self.starts_within {
-                Some(_) => Urgency::ToStart(self.at),
+                Some(_) => Urgency::ToStart(self.since),
                 None => Urgency::Background(self.work_per_wait(day)),
             };
         }
@@ -361,16 +517,15 @@
     /// Core-seconds left for each second that it has waited. Guards against an array of
     /// tens of thousands of tasks before which hundreds of small jobs wait.
     fn work_per_wait(&self, day: Micros) -> u64 {
-        let waited = day.since(self.at).as_secs() + LEAST_WAITED_S;
+        let waited = day.since(self.since).as_secs() + LEAST_WAITED_S;
         (1e3 * self.work_left() / waited / self.choice.weight) as u64
     }
 
     /// Microseconds until it is due, less what its tasks still take; jobs
     /// without a deadline come after those with one.
     pub fn slack(&self, day: Micros) -> i64 {
-        match self.desc.due_s {
+        match self.due() {
             Some(due) => {
-                let due = self.at + Micros::from_secs(due);
                 due.0 as i64 - day.0 as i64 - Micros::from_secs(self.desc.estimate_s).0 as i64
             }
             None => i64::MAX / 2,
@@ -378,5 +533,10 @@
     }
 }
 
+/// How many digits a number has.
+fn digits(n: u32) -> usize {
+    n.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -64,4 +64,8 @@
     /// earlier versions lack it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub footprint: Option<Footprint>,
+    /// Time of day at which it ended, from which the times of jobs that need it count.
+    /// Records of earlier versions lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at: Option<Micros>,
 }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -146,12 +146,16 @@
     assert!(job.finish(1) && !job.finish(1));
     job.page_changed(0, Revision(5));
     assert!(job.all_done() && job.wants_write(Micros(1)));
-    let (conds, ops) = job.end_ops(3);
+    let (conds, ops) = job.end_ops(Micros(7), 3);
     assert_eq!(ops[0], store::delete("r/jobs/j-1".into()));
     assert!(matches!(&ops[1], Op::Set { key, .. } if key == "ended/j-1"));
     assert_eq!(ops[2], store::delete("r/done/j-1/0000".into()));
     assert_eq!(conds[0], cond("r/jobs/j-1".into(), Revision(1)));
-    assert_eq!(job.end_ops(2).1.len(), 2, "a page left over is litter");
+    assert_eq!(
+        job.end_ops(Micros(7), 2).1.len(),
+        2,
+        "a page left over is litter"
+    );
 }
 /// Seen as 843 jobs of one task that started 120 s late to the second, when their bound
 /// against starving let them pass the arrays of their team that came before them.
--- a/src/placement/constrained.rs
+++ b/src/placement/constrained.rs
@@ -108,8 +108,12 @@
 }
 
 fn can_wait(job: &Job, day: Micros) -> bool {
+    // Others wait for its end: what it waits, the whole pipeline does.
+    if job.is_awaited() {
+        return false;
+    }
     match (job.starts_within, job.desc.due_s) {
-        (Some(within), _) => day.since(job.at) < within.part(PART),
+        (Some(within), _) => day.since(job.since) < within.part(PART),
         (None, Some(_)) => job.slack(day) > SLACK_US,
         // Guards against small background tasks spread over machines of which others need
         // the whole: as long as the job gets on elsewhere, it can wait for the rest.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -148,7 +148,7 @@
     // Guards against a task on two machines: while some of the block have not reported
     // since the take-over, an old job's tasks may run there.
     let old = recovery.is_some_and(|r| r.may_hold(job));
-    !old && !job.ended && !job.waiting.is_empty() && now >= job.not_before
+    !old && job.wants_machines() && now >= job.not_before
 }
 
 /// A job that has waited so long to begin goes to the head of its team, whatever its
@@ -159,7 +159,7 @@
 
 /// Whether a job has waited so long that it goes before all others of its team.
 pub fn starved(job: &Job, day: Micros) -> bool {
-    let begun = job.last_start > job.at || !job.done.is_empty() || !job.active.is_empty();
+    let begun = job.last_start > job.since || !job.done.is_empty() || !job.active.is_empty();
     day.since(job.last_start) > if begun { GO_ON } else { BEGIN }
 }
 
@@ -185,7 +185,7 @@
     let ids = |(t, mut queue): (usize, Vec<(&JobId, &Job)>)| {
         queue.sort_by_cached_key(|(_, j)| {
             let starved = starved(j, scene.day).then_some(Reverse(j.last_start));
-            (starved, j.desc.rank, Reverse((j.urgency(scene.day), j.at)))
+            (starved, j.rank(), Reverse((j.urgency(scene.day), j.at)))
         });
         let queued = |(id, j): (&JobId, &Job)| Queued {
             id: id.clone(),
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -109,12 +109,8 @@
         let limit = scene.settings.platform.teams[t].limit();
         left.insert(t, limit - scene.weights.of(t).used);
     }
-    let mut jobs: Vec<&Job> = scene
-        .jobs
-        .values()
-        .filter(|j| !j.ended && !j.waiting.is_empty())
-        .collect();
-    jobs.sort_by_cached_key(|j| (Reverse(j.desc.rank), j.slack(scene.day)));
+    let mut jobs: Vec<&Job> = scene.jobs.values().filter(|j| j.wants_machines()).collect();
+    jobs.sort_by_cached_key(|j| (Reverse(j.rank()), j.slack(scene.day)));
     let mut rooms: Vec<ComingMachines<'_>> = coming.to_vec();
     let mut carry = 0.0;
     let mut needs: Vec<Need> = Vec::new();
@@ -128,7 +124,7 @@
         // Short tasks run one after another in the time that a boot takes.
         let estimate = Micros::from_secs(d.estimate_s).0 as f64;
         let part = (estimate / horizon.0.max(1) as f64).min(1.0);
-        let waited_long = scene.day.since(job.at) >= LONG;
+        let waited_long = scene.day.since(job.since) >= LONG;
         // What is left of one job's part counts with the next one's; nobody waits
         // for ever because his part is small.
         let exact = f64::from(room) * part * job.choice.rent + carry;
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -46,8 +46,8 @@
 /// Whether stopping others still helps a job, and waiting longer would not do:
 /// its deadline is near but not lost, or it has none and has waited for long.
 fn pressed(job: &Job, day: Micros) -> bool {
-    let waited = day.since(job.at);
-    match (hasty(job), job.desc.due_s) {
+    let waited = day.since(job.since);
+    match (hasty(job), job.due()) {
         (Some(within), _) if job.slack(day) >= -LATE_US => waited >= within.part(0.3),
         (_, Some(_)) => (-LATE_US..PRESSED_US).contains(&job.slack(day)),
         (_, None) => {
@@ -117,7 +117,7 @@
         // Guards against walks over all machines for work that may stop nothing there:
         // with the fleet full they took most of the holder's processor time, until it
         // could not read its machines' reports.
-        .filter(|(_, j)| lowest.is_some_and(|l| l < j.desc.rank) || guaranteed(scene, j))
+        .filter(|(_, j)| lowest.is_some_and(|l| l < j.rank()) || guaranteed(scene, j))
         .collect();
     if jobs.is_empty() {
         return Preemption::default();
@@ -131,9 +131,8 @@
         .collect();
     jobs.sort_by(|(_, a), (_, b)| {
         let heavy = |j: &Job| heavy.get(&j.team).copied().unwrap_or(0.0);
-        b.desc
-            .rank
-            .cmp(&a.desc.rank)
+        b.rank()
+            .cmp(&a.rank())
             .then(heavy(a).total_cmp(&heavy(b)))
             .then(a.slack(scene.day).cmp(&b.slack(scene.day)))
     });
@@ -249,7 +248,7 @@
 /// The lowest rank of which anything is on a machine.
 fn lowest_running(scene: &SchedulingSnapshot<'_>) -> Option<Rank> {
     let running = scene.jobs.values().filter(|j| !j.active.is_empty());
-    running.map(|j| j.desc.rank).min()
+    running.map(Job::rank).min()
 }
 
 /// Whether one more task of a job is within its team's guarantee.
@@ -296,14 +295,11 @@
     let may = |t: &Attempt| {
         let Some(v) = &t.desc else { return false };
         let ran = t.running_since.map_or(Micros::ZERO, |r| scene.now.since(r));
-        if scene
-            .jobs
-            .get(&v.id)
-            .is_some_and(|j| !relaxed(j, ran, scene.day, hasty(job).is_some()))
-        {
+        let owner = scene.jobs.get(&v.id);
+        if owner.is_some_and(|j| !relaxed(j, ran, scene.day, hasty(job).is_some())) {
             return false;
         }
-        if v.rank < d.rank {
+        if owner.map_or(v.rank, Job::rank) < job.rank() {
             return true;
         }
         // Work that another team runs above its own guarantee.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -111,6 +111,54 @@
     pub value_kb: f64,
     /// Changes in one transaction.
     pub txn_ops: usize,
+    /// The limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// The coming limits of the state service; what is not given stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests in a second, of all controllers.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes in a second, of all controllers.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// The size of a value, in KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Changes in one transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    fn next_or<T: Copy>(&self, of: impl Fn(&NextStateLimits) -> Option<T>, now: T) -> T {
+        self.next.as_ref().and_then(of).unwrap_or(now)
+    }
+
+    /// Requests in a second that are allowed before and after the limits change.
+    pub fn lasting_rps(&self) -> f64 {
+        self.next_or(|n| n.rps, self.rps).min(self.rps)
+    }
+
+    /// Changes in a second that are allowed before and after the limits change.
+    pub fn lasting_write_rps(&self) -> f64 {
+        let next = self.next_or(|n| n.write_rps, self.write_rps);
+        next.min(self.write_rps)
+    }
+
+    /// Changes in a transaction that are allowed before and after the limits change.
+    pub fn lasting_txn_ops(&self) -> usize {
+        self.next_or(|n| n.txn_ops, self.txn_ops).min(self.txn_ops)
+    }
+
+    /// What a value may hold before and after the limits change, in bytes.
+    pub fn lasting_value_bytes(&self) -> usize {
+        let next = self.next_or(|n| n.value_kb, self.value_kb);
+        (next.min(self.value_kb) * 1024.0) as usize
+    }
 }
 
 /// The limits of the cloud's interface.
@@ -198,6 +246,14 @@
 const LEASE_S: f64 = 20.0;
 /// Below this, renewals over a busy store can't keep a lease up.
 const LEAST_LEASE_S: f64 = 2.0;
+/// Transactions of fewer changes can't record what belongs together.
+const LEAST_TXN_OPS: usize = 4;
+/// Values below this hold no job's description with its record.
+const LEAST_VALUE_BYTES: usize = 1024;
+/// What each team's name takes in a block's record besides the name, and the rest of that
+/// record.
+const TEAM_BYTES: usize = 3;
+const HOLDER_BYTES: usize = 256;
 
 impl Settings {
     /// Reads and checks a file.
@@ -262,6 +318,8 @@
             ("state.rps", p.state.rps),
             ("state.write_rps", p.state.write_rps),
             ("state.value_kb", p.state.value_kb),
+            ("state.next.rps", p.state.lasting_rps()),
+            ("state.next.write_rps", p.state.lasting_write_rps()),
             ("cloud.rps", p.cloud.rps),
             ("cloud.list_lag_s", p.cloud.list_lag_s),
         ];
@@ -275,9 +333,10 @@
                 return fail(format!("{name} must be above 0"));
             }
         }
-        if p.state.txn_ops < 4 {
-            return fail("state.txn_ops must be at least 4".into());
+        if p.state.txn_ops < LEAST_TXN_OPS {
+            return fail(format!("state.txn_ops must be at least {LEAST_TXN_OPS}"));
         }
+        self.check_next_limits()?;
         self.sockets()?;
         // A cancelled task on a machine that is cut off ends only after both the
         // holder's and the worker's lease have run out.
@@ -291,6 +350,34 @@
         Ok(())
     }
 
+    /// Whether the coming limits of the state service leave room to work. Checked before
+    /// the start: what can't be written then would be found out when it is too late.
+    fn check_next_limits(&self) -> Result<(), String> {
+        let p = &self.platform;
+        if p.state.next.is_none() {
+            return Ok(());
+        }
+        if p.state.lasting_txn_ops() < LEAST_TXN_OPS {
+            return Err(format!(
+                "state.next.txn_ops must be at least {LEAST_TXN_OPS}"
+            ));
+        }
+        let most = p.state.lasting_value_bytes();
+        let names = p.teams.iter().map(|t| t.name.len() + TEAM_BYTES);
+        let least = LEAST_VALUE_BYTES.max(HOLDER_BYTES + names.sum::<usize>());
+        if most < least {
+            return Err(format!(
+                "state.next.value_kb leaves {most} bytes for a value, and {least} are needed"
+            ));
+        }
+        Ok(())
+    }
+
+    /// The controllers of the deployment, this one included.
+    pub fn controllers(&self) -> impl Iterator<Item = &Label> {
+        std::iter::once(&self.label).chain(self.seeds.iter().map(|s| &s.label))
+    }
+
     fn raw_lease_s(&self) -> f64 {
         let w = &self.platform.workers;
         let room = w.cancel_s - w.lease_s * (1.0 + DRIFT);
@@ -317,8 +404,8 @@
     /// second's changes is refused again and again while others write.
     pub fn most_changes(&self) -> usize {
         let state = &self.platform.state;
-        let part = (state.write_rps / 4.0) as usize;
-        state.txn_ops.min(part.max(4))
+        let part = (state.lasting_write_rps() / 4.0) as usize;
+        state.lasting_txn_ops().min(part.max(LEAST_TXN_OPS))
     }
 
     /// Within what time tasks of a class should start, if an objective says so.
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -4,6 +4,7 @@
 use crate::clock::{Micros, Steady};
 use crate::controller::http::{Failure, Pool};
 use crate::ids::{LeaseId, Revision};
+use crate::settings::StateLimits;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -111,6 +112,7 @@
 pub struct Store {
     pool: Rc<Pool>,
     budget: Rc<RefCell<Budget>>,
+    value_bytes: usize,
     clock: Steady,
 }
 
@@ -156,16 +158,18 @@
 
 impl Store {
     /// `share` of the service's limits is this controller's.
-    pub fn new(pool: Rc<Pool>, clock: Steady, rps: f64, write_rps: f64, share: f64) -> Self {
+    pub fn new(pool: Rc<Pool>, clock: Steady, limits: &StateLimits, share: f64) -> Self {
         let now = clock.now();
         let part = (share * OVERBOOKED).min(1.0);
+        let least = limits.lasting_write_rps() * part;
         let budget = Budget {
-            requests: Bucket::new(rps * part, now),
-            writes: AdaptiveBucket::new(write_rps * part, write_rps * MOST_PART, now),
+            requests: Bucket::new(limits.lasting_rps() * part, now),
+            writes: AdaptiveBucket::new(least, limits.write_rps * MOST_PART, now),
         };
         Store {
             pool,
             budget: Rc::new(RefCell::new(budget)),
+            value_bytes: limits.lasting_value_bytes(),
             clock,
         }
     }
@@ -188,7 +192,15 @@
     /// Asks, waiting a little for the budget where it is used up.
     pub async fn ask(&self, request: Request, urgency: Urgency) -> Reply {
         let writes = match &request {
-            Request::Txn { ops, .. } => ops.len(),
+            Request::Txn { ops, .. } => {
+                // It would be refused for its size, now or under the coming limits: it is
+                // not sent at all.
+                if let Some((key, bytes)) = oversize(ops, self.value_bytes) {
+                    tracing::error!(key, bytes, "a value is too large to be written");
+                    return Reply::Refused;
+                }
+                ops.len()
+            }
             _ => 0,
         };
         let until = self.clock.now() + Micros::from_millis(800);
@@ -304,6 +316,17 @@
     Failed,
 }
 
+/// The first value that is larger than this, and its size.
+fn oversize(ops: &[Op], most: usize) -> Option<(&str, usize)> {
+    ops.iter().find_map(|op| match op {
+        Op::Set { key, value, .. } => {
+            let bytes = serde_json::to_vec(value).map_or(0, |v| v.len());
+            (bytes > most).then_some((key.as_str(), bytes))
+        }
+        Op::Delete { .. } => None,
+    })
+}
+
 fn txn_body(conds: &[Cond], ops: &[Op]) -> Value {
     json!({"if": conds, "then": ops})
 }
@@ -332,7 +355,7 @@
         (_, 400..=499) => {
             tracing::error!(
                 status,
-                ?request,
+                keys = ?keys_of(request),
                 "the state service calls a request malformed"
             );
             Reply::Refused
@@ -341,5 +364,20 @@
     }
 }
 
+/// The keys that a request names.
+fn keys_of(request: &Request) -> Vec<&str> {
+    match request {
+        Request::Get { key } => vec![key],
+        Request::List { starts, .. } => vec![starts],
+        Request::Txn { ops, .. } => ops
+            .iter()
+            .map(|op| match op {
+                Op::Set { key, .. } | Op::Delete { key } => key.as_str(),
+            })
+            .collect(),
+        Request::NewLease { .. } | Request::Renew { .. } | Request::EndLease { .. } => Vec::new(),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -5,8 +5,8 @@
 
 use super::{Change, Row};
 use crate::blocks::{
-    HolderRecord, LeaderRecord, MachineRecord, MachinesRecord, MemberRecord, RentalRecord,
-    TermRecord,
+    FormatLevel, FormatRecord, HolderRecord, LeaderRecord, MachineRecord, MachinesRecord,
+    MemberRecord, RentalRecord, TermRecord,
 };
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision};
@@ -29,6 +29,8 @@
     pub leader: Option<(Revision, LeaderRecord)>,
     /// The machine types.
     pub types: Option<(Revision, Vec<MachineType>)>,
+    /// The format level that every controller understands; none is recorded at first.
+    pub format: Option<(Revision, FormatRecord)>,
     /// The controllers that take part.
     pub members: Table<Label, MemberRecord>,
     /// Who holds each block.
@@ -124,6 +126,11 @@
                     .and_then(|v| serde_json::from_value(v).ok())
                     .map(|r| (revision, r));
             }
+            ["r", "format"] => {
+                self.format = value
+                    .and_then(|v| serde_json::from_value(v).ok())
+                    .map(|r| (revision, r));
+            }
             ["r", "members", label] => put(&mut self.members, Label::from(*label), value, revision),
             ["r", "sums", label] => put(&mut self.sums, Label::from(*label), value, revision),
             ["r", "hires", name] => put(&mut self.rentals, name.to_string(), value, revision),
@@ -220,6 +227,16 @@
         (rec.incarnation == Revision(0)).then_some(&rec.holder)
     }
 
+    /// The format level that every controller understands.
+    pub fn format_level(&self) -> FormatLevel {
+        self.format.map_or_else(Default::default, |(_, r)| r.level)
+    }
+
+    /// Numbers of a block's shards that are not in use, in order.
+    pub fn free_shards(&self, b: BlockId) -> impl Iterator<Item = u32> {
+        (0..u32::MAX).filter(move |n| !self.machines.contains_key(&(b, *n)))
+    }
+
     /// A job's progress, with the revisions of its pages.
     pub fn progress(&self, id: &JobId) -> impl Iterator<Item = (u32, Revision, &ProgressRecord)> {
         let pages = self.pages.range((id.clone(), 0)..=(id.clone(), u32::MAX));
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -25,6 +25,8 @@
     pub const LEADER: &str = "r/leader";
     /// The machine types.
     pub const TYPES: &str = "r/types";
+    /// The format level that every controller understands.
+    pub const FORMAT: &str = "r/format";
 
     /// A controller's membership.
     pub fn member(label: &Label) -> String {
