Tests of submissions that name others, coming limits, parts of pages, four thousand machines

The second check of readiness in start() is gone: place() has just made the same one, so it could never say no.

--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -231,3 +231,115 @@
     let after = api(view(), |_| Reply::Unknown, none, orders(Micros(1)));
     assert_eq!(after.report(report.as_bytes()).await.0, 503);
 }
+
+/// A submission that names other jobs, before a store that holds some keys.
+async fn submit_naming(named: Value, view: View, store: Answers, find: Find) -> (u16, String) {
+    let mut body = job();
+    body["hinges"] = named;
+    let api = api(view, store, find, orders(Micros::ZERO));
+    let told = api.submit(body.to_string().as_bytes()).await;
+    let why = match &told {
+        UserAnswer::Rejected(error) => error.to_string(),
+        UserAnswer::Unavailable(why) => (*why).to_owned(),
+        UserAnswer::Job { .. } => String::new(),
+    };
+    (status(&told).0, why)
+}
+
+/// A store that has one live job and one that is over.
+fn two_jobs(request: &Ask) -> Reply {
+    let row = |key: &str| {
+        Reply::Found(store::Row {
+            key: key.into(),
+            value: json!({}),
+            revision: Revision(4),
+        })
+    };
+    match request {
+        Ask::Get { key } if key == "r/jobs/j-1" || key == "ended/j-2" => row(key),
+        Ask::Get { .. } => Reply::Missing,
+        _ => Reply::Committed(Revision(9)),
+    }
+}
+
+#[tokio::test]
+async fn a_submission_may_name_any_job_that_was_accepted_and_no_other() {
+    let nothing: Find = |_| Found::Nothing;
+    let name = |named| submit_naming(named, view(), two_jobs, nothing);
+    assert_eq!(name(json!(["j-1"])).await.0, 201);
+    assert_eq!(name(json!(["j-2", "j-1", "j-2"])).await.0, 201);
+    assert_eq!(name(json!([])).await.0, 201);
+    assert_eq!(name(Value::Null).await.0, 201);
+    let (status, why) = name(json!(["j-1", "j-3"])).await;
+    assert_eq!((status, why.contains("j-3")), (422, true), "{why}");
+    // Its own id was not accepted either, the first time.
+    assert_eq!(name(json!(["j-000412"])).await.0, 422);
+    for malformed in [
+        json!("j-1"),
+        json!([1]),
+        json!(["x-1"]),
+        json!({}),
+        json!(["j-"]),
+    ] {
+        assert_eq!(name(malformed.clone()).await.0, 400, "{malformed}");
+    }
+}
+
+#[tokio::test]
+async fn what_a_submission_names_is_refused_for_good_only_after_a_reading_that_lacks_it() {
+    let nothing: Find = |_| Found::Nothing;
+    let refused: Answers = |_| Reply::Refused;
+    let named = json!(["j-1"]);
+    let told = submit_naming(named.clone(), view(), refused, nothing).await;
+    assert_eq!(told.0, 503);
+    // The live record is surely gone, and whether there is one of its end can't be read.
+    let half: Answers = |request| match request {
+        Ask::Get { key } if key.starts_with("r/jobs/") => Reply::Missing,
+        _ => Reply::Unknown,
+    };
+    let told = submit_naming(named.clone(), view(), half, nothing).await;
+    assert_eq!(told.0, 503);
+    // A repeat of a job that is known is told how it stands, whatever it names.
+    let known: Find = |_| live();
+    let has_it: Answers = |request| match request {
+        Ask::Txn { .. } => Reply::Conflict(vec!["r/jobs/j-000412".into()]),
+        request => two_jobs(request),
+    };
+    for named in [json!(["j-3"]), json!(["j-000412"]), named] {
+        for store in [refused, has_it] {
+            let told = submit_naming(named.clone(), view(), store, known).await;
+            assert_eq!(told.0, 200, "{named}");
+        }
+    }
+}
+
+/// A controller of the earlier version would start it at once.
+#[tokio::test]
+async fn a_job_that_names_others_is_taken_only_once_every_controller_understands_it() {
+    let nothing: Find = |_| Found::Nothing;
+    let old = || View {
+        format: FormatLevel(0),
+        ..view()
+    };
+    let told = submit_naming(json!(["j-1"]), old(), two_jobs, nothing).await;
+    assert_eq!(told.0, 503);
+    let told = submit_naming(json!([]), old(), two_jobs, nothing).await;
+    assert_eq!(told.0, 201, "others as ever");
+    let told = submit_naming(json!(["j-1"]), old(), two_jobs, |_| live()).await;
+    assert_eq!(told.0, 200, "a repeat");
+}
+
+#[tokio::test]
+async fn more_names_than_a_record_can_hold_are_refused_with_how_many_fit() {
+    let names: Vec<String> = (0..2_000).map(|i| format!("j-{i:06}")).collect();
+    let unasked: Answers = |_| panic!("nothing needs to be looked up");
+    let told = submit_naming(json!(names), view(), unasked, |_| Found::Nothing).await;
+    assert_eq!(told.0, 422);
+    let fitting = told.1.split(' ').find_map(|w| w.parse::<usize>().ok());
+    assert_eq!(fitting, Some(2_000), "{}", told.1);
+    let about = told.1.split(' ').filter_map(|w| w.parse::<usize>().ok());
+    let about = about.last().expect("how many fit");
+    let some = json!(names[..about - 20]);
+    let told = submit_naming(some, view(), |_| Reply::Missing, |_| Found::Nothing).await;
+    assert!(told.1.contains("never accepted"), "{}", told.1);
+}
--- a/src/blocks/holder/starts.rs
+++ b/src/blocks/holder/starts.rs
@@ -99,11 +99,6 @@
             else {
                 continue;
             };
-            // Once more where orders are made: guards against a start decided by a queue
-            // that is older than what is known of the jobs before it.
-            if !job.wants_machines() {
-                continue;
-            }
             job.start(c.index, c.machine.clone());
             job.last_start = day;
             if job.fails() {
--- a/src/controller/tests/size.rs
+++ b/src/controller/tests/size.rs
@@ -6,8 +6,8 @@
 use serde_json::Value;
 
 /// Five controllers, and limits that two thousand machines of 16 cores need.
-fn large(machines: usize) -> World {
-    World::with(5, machines, |v: &mut Value| {
+fn large(nodes: usize, machines: usize) -> World {
+    World::with(nodes, machines, |v: &mut Value| {
         // One holder with a core of its own for all of them.
         v["settings"]["limits"]["cpu_share"] = 1.0.into();
         for team in v["settings"]["teams"].as_array_mut().expect("teams") {
@@ -35,7 +35,7 @@
 /// The scripted store refuses any transaction or value beyond the settings' limits.
 #[test]
 fn two_thousand_machines_fit_the_store_and_a_crash_between_two_writes_loses_none() {
-    let mut w = large(2_100);
+    let mut w = large(5, 2_100);
     // The leader dies while the machines are being recorded, a few shards at a time.
     while recorded(&w).is_empty() {
         w.pass(0.1);
@@ -171,3 +171,32 @@
     assert!(machines_compared(40, 10) <= 45);
     assert!(machines_compared(40, 100) <= 45, "not with the backlog");
 }
+
+/// Nothing fixed stands below this size: each machine is heard, used, and returned.
+#[test]
+fn four_thousand_machines_are_heard_used_and_returned() {
+    let machines = 4_000;
+    let mut w = large(2, machines);
+    w.idle_return = secs(20.0);
+    (0..2).for_each(|i| w.start(i));
+    w.pass(18.0);
+    let all = recorded(&w);
+    assert_eq!(all.len(), machines, "each once");
+    assert!(all.iter().all(|(_, used)| *used), "each is heard");
+    // One task fills a machine, and no team may have all of them.
+    for (id, team) in [("j-1", "red"), ("j-2", "blue")] {
+        let mut job = desc(id, machines as u32 / 2);
+        (job.cores, job.team) = (16.0, team.into());
+        w.submit(&job);
+    }
+    w.pass(6.0);
+    assert_eq!(w.all_running(), machines);
+    w.finish_all();
+    w.pass(6.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    assert_eq!(w.ended("j-2"), Some(Standing::Done));
+    // A minute is charged anyway.
+    w.pass(50.0);
+    assert_eq!(w.returned.len(), machines);
+    assert_eq!(recorded(&w).len(), 0);
+}
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -220,3 +220,91 @@
     let now = Micros::from_secs(1.0);
     assert!(job(true, heavy).urgency(now) < job(true, normal).urgency(now));
 }
+
+#[test]
+fn jobs_that_are_named_are_read_each_once_and_recorded_only_if_there_are_any() {
+    let with = |named: serde_json::Value| {
+        let mut b = body();
+        b["hinges"] = named;
+        JobDesc::parse(b.to_string().as_bytes())
+    };
+    let named = |v| with(v).map(|d| d.dependencies);
+    let ids = |names: &[&str]| Ok(names.iter().map(|n| (*n).into()).collect());
+    assert_eq!(
+        named(serde_json::json!(["j-2", "j-1", "j-2"])),
+        ids(&["j-2", "j-1"])
+    );
+    assert_eq!(named(serde_json::json!([])), ids(&[]));
+    assert_eq!(named(serde_json::Value::Null), ids(&[]));
+    let recorded = |named| {
+        let desc = with(named).expect("well formed");
+        let record = serde_json::to_value(desc).expect("a record");
+        record.get("hinges").cloned()
+    };
+    assert_eq!(
+        recorded(serde_json::json!([])),
+        None,
+        "as by earlier versions"
+    );
+    let one = serde_json::json!(["j-2"]);
+    assert_eq!(recorded(one.clone()), Some(one));
+}
+
+#[test]
+fn what_a_page_holds_is_recorded_in_parts_that_fit_and_joined_again() {
+    let value_bytes = 2 * 1024;
+    // As long as the version in production makes it, and of the worst pattern.
+    let page = page_tasks(32.0);
+    let tasks = 3 * page;
+    let mut job = Job::new(&rec("j-1", tasks, Term(1)), Revision(1), 0, page);
+    job.limit_values(value_bytes);
+    for i in (0..tasks).step_by(2) {
+        job.finish(i);
+    }
+    let mut later = Job::new(&rec("j-1", tasks, Term(1)), Revision(1), 0, page);
+    let mut numbers = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        let (conds, ops, written) = job.progress_ops(&Label::from("dealer-0"), 5);
+        assert!(ops.len() <= 5 && conds.len() == ops.len() + 1);
+        assert_eq!(ops.len(), written.len());
+        for (op, number) in ops.into_iter().zip(written) {
+            let Op::Set { value, .. } = op else {
+                panic!("only sets")
+            };
+            assert!(value.to_string().len() <= value_bytes);
+            assert!(numbers.insert(number), "{number} is written twice");
+            let record = serde_json::from_value(value).expect("a page");
+            later.recall(number, Revision(9), &record);
+        }
+    }
+    assert!((0..tasks).all(|i| !job.is_dirty(i)), "all is written");
+    assert_eq!(later.done, job.done);
+    // What was not written after all is written again, parts and all.
+    let numbers: Vec<u32> = numbers.into_iter().collect();
+    job.unwritten(&numbers);
+    assert!((0..tasks).all(|i| job.is_dirty(i)));
+    assert!(job.progress_ops(&Label::from("dealer-0"), 5).2.len() > 1);
+}
+
+#[test]
+fn a_job_that_needs_others_waits_and_its_waiting_counts_from_their_end() {
+    let mut record = rec("j-2", 2, Term(1));
+    record.desc.dependencies = vec!["j-1".into()];
+    let mut job = Job::new(&record, Revision(1), 0, 64);
+    assert!(!job.wants_machines(), "until it is known");
+    let at = Micros::from_secs(90.0);
+    assert!(job.set_readiness(&Readiness::Ready(Some(at))));
+    assert!(!job.set_readiness(&Readiness::Ready(Some(at))), "no news");
+    assert!(job.wants_machines());
+    assert_eq!((job.since, job.last_start), (at, at));
+    // The deadline counts from the submission all the same.
+    assert_eq!(job.due(), Some(Micros::from_secs(60.0)));
+    // Behind a cancelled one it ends as cancelled, without a task.
+    assert!(job.set_readiness(&Readiness::Cancelled));
+    assert!(!job.wants_machines() && job.wants_write(at) && !job.all_done());
+    let (_, ops) = job.end_ops(at, 5);
+    let Op::Set { value, .. } = &ops[1] else {
+        panic!("its end")
+    };
+    assert_eq!(value["standing"], "cancelled");
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -63,3 +63,66 @@
     s.platform.teams[0].cpus = 8.0;
     assert_eq!(s.check(), Ok(()), "guaranteed, and not limited beyond");
 }
+
+#[test]
+fn coming_limits_hold_from_the_start_where_they_are_smaller() {
+    let with = |next: serde_json::Value| {
+        let mut v = example();
+        v["settings"]["state"]["next"] = next;
+        serde_json::from_value::<Settings>(v).expect("well formed")
+    };
+    let lasting = |s: &Settings| {
+        let state = &s.platform.state;
+        let bytes = state.lasting_value_bytes();
+        let rates = (state.lasting_rps(), state.lasting_write_rps());
+        (bytes, state.lasting_txn_ops(), rates)
+    };
+    let today = (16 * 1024, 16, (100.0, 30.0));
+    assert_eq!(lasting(&settings()), today);
+    assert_eq!(lasting(&with(serde_json::Value::Null)), today);
+    assert_eq!(lasting(&with(serde_json::json!({"new": 1}))), today);
+    let partly = with(serde_json::json!({"value_kb": 2.0}));
+    assert_eq!(lasting(&partly), (2048, 16, (100.0, 30.0)));
+    assert_eq!(partly.check(), Ok(()));
+    let all = serde_json::json!({"value_kb": 2.0, "txn_ops": 5, "rps": 60.0, "write_rps": 21.0});
+    let all = with(all);
+    assert_eq!(lasting(&all), (2048, 5, (60.0, 21.0)));
+    assert_eq!((all.check(), all.most_changes()), (Ok(()), 5));
+    let larger = serde_json::json!({"value_kb": 64.0, "txn_ops": 48, "write_rps": 90.0});
+    assert_eq!(lasting(&with(larger)), today);
+}
+
+#[test]
+fn coming_limits_that_leave_no_room_to_work_are_refused_before_the_start() {
+    let refused = |next: serde_json::Value, names: &str| {
+        let mut v = example();
+        v["settings"]["state"]["next"] = next.clone();
+        let s: Settings = serde_json::from_value(v).expect("well formed");
+        let why = s.check().expect_err(&next.to_string());
+        assert!(why.contains(names) && !why.contains('\n'), "{why}");
+    };
+    refused(serde_json::json!({"txn_ops": 3}), "state.next.txn_ops");
+    refused(serde_json::json!({"value_kb": 0.5}), "state.next.value_kb");
+    refused(serde_json::json!({"value_kb": -1.0}), "state.next.value_kb");
+    refused(
+        serde_json::json!({"write_rps": 0.0}),
+        "state.next.write_rps",
+    );
+    refused(serde_json::json!({"rps": -5.0}), "state.next.rps");
+    // A block's record names all teams.
+    let mut v = example();
+    v["settings"]["state"]["next"] = serde_json::json!({"value_kb": 2.0});
+    for i in 0..100 {
+        let team = serde_json::json!({"name": format!("network-analytics-{i:03}")});
+        v["settings"]["teams"]
+            .as_array_mut()
+            .expect("teams")
+            .push(team);
+    }
+    let s: Settings = serde_json::from_value(v).expect("well formed");
+    assert!(
+        s.check()
+            .expect_err("too many")
+            .contains("state.next.value_kb")
+    );
+}
