Store rate capped at the coming limit after a refusal; newest versions get blocks first

Also 400 to 800 ms for repeats of ended jobs, which waited for a reading of a quiet store. Mended, each with a test: the cap, the record read at once, the newest format among equals. The format level is no longer written again before the mirror shows it.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -211,6 +211,14 @@
                         counts: None,
                     };
                 }
+                // A repeat of a job that is over: its record needs no reading of changes.
+                Reply::Conflict(failed) if failed.contains(&keys::ended(&job.id)) => {
+                    let key = keys::ended(&job.id);
+                    return match self.ask(Ask::Get { key }).await {
+                        Reply::Found(row) => ended(&row, &job.id),
+                        _ => NO_STORE,
+                    };
+                }
                 Reply::Conflict(failed) if failed.iter().any(|k| *k != keys::holder(block)) => {
                     match self.find(&job.id).await {
                         // It ended and was read in between; look once more.
@@ -378,6 +386,12 @@
     }
 }
 
+/// The answer about a job whose end was read.
+fn ended(row: &store::Row, id: &JobId) -> UserAnswer {
+    serde_json::from_value(row.value.clone())
+        .map_or(NO_STORE, |record| known(Found::Ended(record), id))
+}
+
 /// The answer about a job that the store has.
 fn known(found: Found, id: &JobId) -> UserAnswer {
     match found {
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -343,3 +343,26 @@
     let told = submit_naming(some, view(), |_| Reply::Missing, |_| Found::Nothing).await;
     assert!(told.1.contains("never accepted"), "{}", told.1);
 }
+
+/// Seen as repeats that took half a second in a quiet store: the next reading of changes
+/// came only when its time was up.
+#[tokio::test]
+async fn a_repeat_of_a_job_that_is_over_is_answered_from_its_record() {
+    let over: Answers = |request| match request {
+        Ask::Txn { .. } => Reply::Conflict(vec!["ended/j-000412".into()]),
+        Ask::Get { key } if key == "ended/j-000412" => Reply::Found(store::Row {
+            key: key.clone(),
+            value: json!({"standing": "done", "tasks": 4}),
+            revision: Revision(4),
+        }),
+        _ => Reply::Missing,
+    };
+    let unasked: Find = |_| panic!("no reading is waited for");
+    let told = submit(view(), over, unasked).await;
+    assert_eq!(status(&told), (200, Some(Standing::Done)));
+    let unreadable: Answers = |request| match request {
+        Ask::Txn { .. } => Reply::Conflict(vec!["ended/j-000412".into()]),
+        _ => Reply::Unknown,
+    };
+    assert_eq!(status(&submit(view(), unreadable, unasked).await).0, 503);
+}
--- a/src/blocks/leader.rs
+++ b/src/blocks/leader.rs
@@ -7,6 +7,7 @@
 use crate::settings::Settings;
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, Op, cond, keys};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// The block that a team belongs to, by the records or, before there are any,
@@ -74,10 +75,14 @@
             // Leading is work too: among equals, another member. Whoever handed the
             // block back did so for a reason, heard by us or not.
             let gave_up = mirror.resigned(b).is_some_and(|r| r == **l);
+            // During a roll those with the newest version have had their turn: guards
+            // against a block that changes hands with each controller that is replaced.
+            let format = mirror.members.get(**l).map(|(_, m)| m.format);
             (
                 !fit(l),
                 gave_up,
                 **n,
+                Reverse(format),
                 **l == &settings.label,
                 l.as_str().to_owned(),
             )
--- a/src/blocks/leader/tests.rs
+++ b/src/blocks/leader/tests.rs
@@ -126,3 +126,21 @@
         "better than nobody"
     );
 }
+
+/// Seen in a roll: the block of the controller that was replaced went to one whose turn
+/// came next, and each time all of its machines had to report anew.
+#[test]
+fn among_equals_a_block_goes_to_the_member_with_the_newest_version() {
+    let mut m = mirror(&[("c0", 1), ("c1", 2), ("c2", 3), ("c3", 4)]);
+    for old in ["c1", "c3"] {
+        let (_, member) = m.members.get_mut(&Label::from(old)).expect("a member");
+        member.format = FormatLevel::default();
+    }
+    let holder = |fit: &dyn Fn(&Label) -> bool| {
+        let (_, ops) = try_grants(&m, 1, fit).expect("a grant");
+        granted(&ops)[0].1.holder.clone()
+    };
+    assert_eq!(holder(&|_| true), "c2".into());
+    let only_old = |l: &Label| l.as_str() == "c1" || l.as_str() == "c3";
+    assert_eq!(holder(&only_old), "c1".into(), "who is heard comes first");
+}
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -584,6 +584,8 @@
                     h.resigned(reply);
                 }
             }
+            // Until the mirror shows it, the same would be written again.
+            StoreOperation::Format if matches!(reply, Reply::Committed(_)) => {}
             StoreOperation::Format => {
                 self.out.remove("format");
             }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -57,6 +57,8 @@
     bucket: Bucket,
     least: f64,
     most: f64,
+    /// The highest rate once the service has refused a request for its limit.
+    most_refused: f64,
     risen: Micros,
     fell: Micros,
 }
@@ -69,12 +71,15 @@
 const FALL_GAP: Micros = Micros::from_millis(500);
 
 impl AdaptiveBucket {
-    /// A bucket that begins at its least rate.
-    pub fn new(least: f64, most: f64, now: Micros) -> Self {
+    /// A bucket that begins at its least rate. A refusal says that the coming limit may
+    /// hold by now: from then on it rises to `most_refused` only. Guards against a bucket
+    /// that goes on rising above a limit that has fallen, so that all are refused.
+    pub fn new(least: f64, most: f64, most_refused: f64, now: Micros) -> Self {
         AdaptiveBucket {
             bucket: Bucket::new(least, now),
             least,
             most: most.max(least),
+            most_refused: most_refused.max(least),
             risen: now,
             fell: Micros::ZERO,
         }
@@ -92,6 +97,7 @@
     pub fn over_limit(&mut self, now: Micros) {
         if now.since(self.fell) >= FALL_GAP {
             self.fell = now;
+            self.most = self.most.min(self.most_refused);
             self.set_rate(now, self.bucket.rate * FALL);
         }
     }
@@ -161,10 +167,15 @@
     pub fn new(pool: Rc<Pool>, clock: Steady, limits: &StateLimits, share: f64) -> Self {
         let now = clock.now();
         let part = (share * OVERBOOKED).min(1.0);
-        let least = limits.lasting_write_rps() * part;
+        let lasting = limits.lasting_write_rps();
         let budget = Budget {
             requests: Bucket::new(limits.lasting_rps() * part, now),
-            writes: AdaptiveBucket::new(least, limits.write_rps * MOST_PART, now),
+            writes: AdaptiveBucket::new(
+                lasting * part,
+                limits.write_rps * MOST_PART,
+                lasting * MOST_PART,
+                now,
+            ),
         };
         Store {
             pool,
--- a/src/store/client/tests.rs
+++ b/src/store/client/tests.rs
@@ -23,7 +23,7 @@
 /// used two fifths of the changes, and the other controllers almost none.
 #[test]
 fn the_rate_of_changes_rises_to_what_others_leave_and_falls_when_refused() {
-    let mut bucket = AdaptiveBucket::new(12.0, 25.0, Micros(0));
+    let mut bucket = AdaptiveBucket::new(12.0, 25.0, 25.0, Micros(0));
     let passed_in_second = |bucket: &mut AdaptiveBucket, second: u64| {
         let at = |i: u64| Micros(second * 1_000_000 + i * 10_000);
         (0..100).filter(|i| bucket.take(at(*i), 1.0, 0.0)).count()
@@ -86,3 +86,20 @@
     let told = read_reply(&leased, 200, br#"{"tenure":7}"#);
     assert_eq!(told, Reply::Leased(LeaseId(7)));
 }
+
+/// Seen as hundreds of refusals in the minutes after the limit had fallen to 21 a second.
+#[test]
+fn after_a_refusal_the_rate_rises_to_the_coming_limit_only() {
+    let rate_after = |most_refused: f64| {
+        let mut bucket = AdaptiveBucket::new(8.0, 25.0, most_refused, Micros(0));
+        let minute = Micros::from_secs(60.0);
+        assert!(bucket.take(minute, 1.0, 0.0));
+        assert_eq!(bucket.bucket.rate, 25.0, "as long as none is refused");
+        bucket.over_limit(minute);
+        assert!(bucket.bucket.rate < 18.0);
+        bucket.take(minute + minute, 1.0, 0.0);
+        bucket.bucket.rate
+    };
+    assert_eq!(rate_after(18.0), 18.0);
+    assert_eq!(rate_after(25.0), 25.0, "where no other limit is to come");
+}
