--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -6,14 +6,14 @@
 mod records;
 mod reports;
 mod starts;
+mod sync;
 
 use super::{Freed, HolderRecord, MachinesRecord};
 use crate::clock::Micros;
 use crate::fairness::{Resources, Weights};
 use crate::fleet::MachineType;
 use crate::ids::{BlockId, JobId, Label, MachineId, Revision, Term};
-use crate::jobs::dependencies::{DependencyGraph, Readiness};
-use crate::jobs::{Job, Standing, page_tasks};
+use crate::jobs::{Job, Standing};
 use crate::placement::{
     self, ComingMachines, ConstrainedDemand, Need, Queues, Recovery, SchedulingSnapshot,
     SilentMachines,
@@ -220,178 +220,6 @@
         }
     }
 
-    /// Takes over what the mirror has. What ran before is learnt from reports:
-    /// until a machine has reported under our token, it may run anything.
-    pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
-        // For telling which work has a choice of machines.
-        self.constrained = ConstrainedDemand::new(types);
-        let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
-        for n in shards {
-            self.sync_shard(now, n, mirror, types, true);
-        }
-        let ids: Vec<JobId> = mirror.jobs.keys().cloned().collect();
-        for id in ids {
-            self.sync_job(&id, mirror);
-        }
-    }
-
-    /// The store was read from the start while we held the block all along.
-    pub fn reload(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
-        let known = self.machines.values().map(|m| m.shard);
-        let shards: BTreeSet<u32> = known
-            .chain(mirror.shards(self.block).map(|(n, ..)| n))
-            .collect();
-        for n in shards {
-            self.sync_shard(now, n, mirror, types, false);
-        }
-        let jobs: BTreeSet<JobId> = self
-            .jobs
-            .keys()
-            .chain(mirror.jobs.keys())
-            .cloned()
-            .collect();
-        for id in jobs {
-            self.sync_job(&id, mirror);
-        }
-        for (id, page) in mirror.pages.keys() {
-            self.sync_page(id, *page, mirror);
-        }
-    }
-
-    /// A shard of the block's machines changed in the store.
-    pub fn sync_shard(
-        &mut self,
-        now: Micros,
-        shard: u32,
-        mirror: &Mirror,
-        types: &[MachineType],
-        at_grant: bool,
-    ) {
-        let in_block = |id: &MachineId| {
-            let found = mirror.machine(id);
-            found.filter(|((b, _), r)| *b == self.block && r.freed.is_none())
-        };
-        let of_shard = self.machines.iter().filter(|(_, m)| m.shard == shard);
-        let mut lost: Vec<MachineId> = Vec::new();
-        for (id, _) in of_shard {
-            if in_block(id).is_none() {
-                lost.push(id.clone());
-            }
-        }
-        for id in lost {
-            // The leader takes a machine out only after the cloud has said that it
-            // and all that was on it are gone; or we gave it up, idle.
-            if let Some(mut m) = self.machines.remove(&id) {
-                self.weights.remove(&m.load, m.capacity);
-                let keys = m.over();
-                tracing::info!(block = %self.block, machine = %id, lost = keys.len(), "machine left the block");
-                for key in keys {
-                    self.requeue(&key, &id);
-                }
-            }
-        }
-        let Some((revision, rec)) = mirror.machines.get(&(self.block, shard)) else {
-            return;
-        };
-        for (id, r) in rec.0.iter().filter(|(_, r)| r.freed.is_none()) {
-            if let Some(m) = self.machines.get_mut(id) {
-                m.shard = shard;
-                m.used |= r.used;
-                if m.leaving == Leaving::Unsure && *revision > m.left_at {
-                    // The shard has changed since: the late write fails by itself.
-                    m.leaving = Leaving::No;
-                }
-                continue;
-            }
-            let build = types.iter().find(|t| t.name == r.build);
-            let capacity = build.map_or(Resources::default(), MachineType::capacity);
-            let term = self.term.max(r.term);
-            let mut m = Machine::new(now, term, &r.build, &r.zone, r.spot, capacity, &r.addr);
-            m.shard = shard;
-            m.unconfirmed = at_grant && r.used;
-            m.seasoned = r.used;
-            m.used = r.used;
-            m.fetch = build.map_or(1.0, |t| t.fetch_gb_per_s);
-            m.load = m.count_load();
-            self.weights.add(&m.load, m.capacity);
-            self.machines.insert(id.clone(), m);
-        }
-        self.count_unconfirmed(now);
-        self.pass_pending = true;
-    }
-
-    /// A job changed in the store.
-    pub fn sync_job(&mut self, id: &JobId, mirror: &Mirror) {
-        let Some((revision, rec)) = mirror.jobs.get(id) else {
-            if let Some(job) = self.jobs.remove(id) {
-                self.pass_pending = true;
-                self.unreaped.remove(id);
-                if !job.ended {
-                    tracing::info!(block = %self.block, job = %id, "job ended elsewhere: cancelled");
-                }
-                self.stop_job(id);
-            }
-            return;
-        };
-        let team = self.settings.team(&rec.desc.team);
-        let Some(team) = team.filter(|t| self.teams.contains(t)) else {
-            return;
-        };
-        if self.jobs.contains_key(id) {
-            return;
-        }
-        let page = page_tasks(self.settings.platform.state.value_kb);
-        let mut job = Job::new(rec, *revision, team, page);
-        job.limit_values(self.settings.platform.state.lasting_value_bytes());
-        job.starts_within = self.settings.starts_within(&rec.desc.class);
-        job.choose(self.policy.job(&rec.desc));
-        for (n, revision, rec) in mirror.progress(id) {
-            job.recall(n, revision, rec);
-        }
-        // A job whose last task was stored but not its end is ended by us.
-        self.dirty.insert(id.clone());
-        self.jobs.insert(id.clone(), job);
-        self.pass_pending = true;
-    }
-
-    /// The dependency graph changed: which jobs may start, which are cancelled with one
-    /// before them, and what they have from those that need them.
-    pub fn sync_dependencies(&mut self, graph: &DependencyGraph) {
-        for (id, job) in &mut self.jobs {
-            self.pass_pending |= job.inherit(graph.inherited(id));
-            if job.desc.dependencies.is_empty() || job.ended {
-                continue;
-            }
-            let readiness = graph.readiness(id);
-            if !job.set_readiness(&readiness) {
-                continue;
-            }
-            self.pass_pending = true;
-            match readiness {
-                Readiness::Ready(_) => {
-                    tracing::info!(block = %self.block, job = %id, "all jobs before it are done");
-                }
-                Readiness::Waiting(on) => {
-                    tracing::info!(block = %self.block, job = %id, %on, "waits for a job before it");
-                }
-                Readiness::Cancelled => {
-                    tracing::info!(block = %self.block, job = %id, "cancelled with a job before it");
-                    self.dirty.insert(id.clone());
-                }
-            }
-        }
-    }
-
-    /// A page of a job's progress changed: by our own write, one without an answer
-    /// included.
-    pub fn sync_page(&mut self, id: &JobId, page: u32, mirror: &Mirror) {
-        if let Some((revision, _)) = mirror.pages.get(&(id.clone(), page))
-            && let Some(job) = self.jobs.get_mut(id)
-        {
-            job.page_changed(page, *revision);
-        }
-    }
-
     /// The store has cancelled a job: nothing more of it starts.
     pub fn cancelled(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id).filter(|j| !j.ended) {
@@ -420,36 +248,6 @@
         self.recovery.is_some()
     }
 
-    fn count_unconfirmed(&mut self, now: Micros) {
-        let mut silent: Vec<SilentMachines> = Vec::new();
-        for m in self.machines.values().filter(|m| m.unconfirmed) {
-            let capacity = (m.capacity != Resources::default()).then_some(m.capacity);
-            let alike = |s: &SilentMachines| {
-                s.build == m.build && s.zone == m.zone && s.spot == m.spot && s.capacity == capacity
-            };
-            if !silent.iter().any(alike) {
-                silent.push(SilentMachines {
-                    build: m.build.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    capacity,
-                });
-            }
-        }
-        let recovery = (!silent.is_empty()).then_some(Recovery {
-            term: self.term,
-            silent,
-        });
-        // Fewer kinds that are silent: more jobs that can't be there.
-        self.pass_pending |= recovery != self.recovery;
-        let over = self.recovery.is_some() && recovery.is_none();
-        self.recovery = recovery;
-        if over {
-            self.recovered_at = now;
-            tracing::info!(block = %self.block, term = %self.term, "all machines of the take-over have reported or are over");
-        }
-    }
-
     /// An attempt is over without a result.
     fn requeue(&mut self, key: &AttemptKey, on: &MachineId) {
         if let Some(job) = self.jobs.get_mut(&key.0.job)
--- /dev/null
+++ b/src/controller/core/replies.rs
@@ -0,0 +1,139 @@
+//! What the state service and the cloud answered.
+
+use super::*;
+
+impl Core {
+    pub(super) fn stored(
+        &mut self,
+        now: Micros,
+        tag: StoreOperation,
+        reply: &Reply,
+        out: &mut Vec<Effect>,
+    ) {
+        match tag {
+            StoreOperation::Member => {
+                let before = self.member.incarnation();
+                self.member.reply(now, reply);
+                if self.member.incarnation() != before {
+                    tracing::info!(incarnation = ?self.member.incarnation(), "membership");
+                    self.changed(now, out);
+                }
+            }
+            StoreOperation::LeaderLease => self.leading_lease.reply(now, reply),
+            StoreOperation::Candidacy => {
+                self.out.remove("candidacy");
+            }
+            StoreOperation::StepDown => {
+                self.out.remove("step_down");
+            }
+            StoreOperation::Grants => {
+                // Until the mirror shows them, the same grants would be tried again.
+                if !matches!(reply, Reply::Committed(_)) {
+                    self.out.remove("grants");
+                } else {
+                    self.out
+                        .insert("grants", (now + Micros::from_millis(600)).since(OUT_FOR));
+                }
+            }
+            StoreOperation::Types => {
+                self.out.remove("types");
+            }
+            StoreOperation::Resign(b, term) => {
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.resigned(reply);
+                }
+            }
+            // Until the mirror shows it, the same would be written again.
+            StoreOperation::Format if matches!(reply, Reply::Committed(_)) => {}
+            StoreOperation::Format => {
+                self.out.remove("format");
+            }
+            StoreOperation::Sums | StoreOperation::GarbageCollection => {}
+            StoreOperation::DependencyEnd(id) => {
+                self.dependencies.end_read(now, &id, reply);
+                self.sync_dependencies(now, out);
+            }
+            StoreOperation::Ended(id) => {
+                let asked = self.read_index.ended(id, reply);
+                out.extend(asked.into_iter().map(read_index_effect));
+            }
+            StoreOperation::UnknownJob(b, term, id) => {
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.read_ended(now, &id, reply);
+                }
+            }
+            StoreOperation::Holder(b, term, write) => {
+                self.ends_stored(&write, reply);
+                if let Some(h) = self.held.get_mut(&b).filter(|h| h.term == term) {
+                    h.stored(now, write, reply);
+                }
+                self.sync_dependencies(now, out);
+            }
+            StoreOperation::Manager(leader_revision, write) => {
+                // An earlier leadership's answers mean nothing to this one.
+                if self
+                    .mirror
+                    .leader
+                    .as_ref()
+                    .is_some_and(|(s, _)| *s == leader_revision)
+                {
+                    self.manager.stored(now, write, reply);
+                }
+            }
+        }
+    }
+
+    /// Ends that the store has confirmed are known without another read.
+    pub(super) fn ends_stored(&mut self, write: &holder::Write, reply: &Reply) {
+        let (holder::Write::Ends { ends, at, .. }, Reply::Committed(_)) = (write, reply) else {
+            return;
+        };
+        for (id, standing) in ends {
+            let end = match standing {
+                Standing::Done => JobEnd::Done(Some(*at)),
+                _ => JobEnd::Cancelled,
+            };
+            self.dependencies.end_stored(id, end);
+        }
+    }
+
+    pub(super) fn cloud(
+        &mut self,
+        now: Micros,
+        request: CloudRequest,
+        reply: CloudReply,
+        out: &mut Vec<Effect>,
+    ) {
+        if request != CloudRequest::Types {
+            self.manager.cloud(now, request, reply);
+            return;
+        }
+        let CloudReply::Types(types) = reply else {
+            // Asked again after a while, or read from the store where another node
+            // had more luck.
+            self.out
+                .insert("types", (now + Micros::from_millis(1_000)).since(OUT_FOR));
+            return;
+        };
+        self.out.remove("types");
+        let (revision, old) = self
+            .mirror
+            .types
+            .as_ref()
+            .map_or((Revision(0), &[][..]), |(s, t)| (*s, t.as_slice()));
+        if old != types.as_slice() {
+            let ops = vec![store::set(keys::TYPES.into(), &types)];
+            let request = Request::Txn {
+                conds: vec![cond(keys::TYPES.into(), revision)],
+                ops,
+            };
+            out.push(Effect::Store {
+                tag: StoreOperation::Types,
+                request,
+                urgency: Urgency::Prompt,
+            });
+        }
+        self.types = Some(Arc::new(types));
+        self.changed(now, out);
+    }
+}
--- /dev/null
+++ b/src/jobs/order.rs
@@ -0,0 +1,84 @@
+//! Which job comes first inside a team: its priority, its deadline, and the order among
+//! jobs of one rank.
+
+use super::{Job, Rank};
+use crate::clock::Micros;
+
+/// The order among jobs of one rank, the most urgent first. Jobs count and not tasks, so
+/// of two that can't both be served in time the one with less work left is the cheaper.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// It can still keep its deadline: the least slack times the least work left.
+    Due(u64),
+    /// Its class has an objective for starting: the oldest.
+    ToStart(Micros),
+    /// Neither: the least work left for the time that it has waited.
+    Background(u64),
+    /// Its deadline is lost.
+    Late(u64),
+}
+
+/// Added to a job's slack, so that work counts where there is none left.
+const LEAST_PRESSING_S: f64 = 10.0;
+/// Added to the time that a job has waited, so that work counts from the start.
+const LEAST_WAITED_S: f64 = 1.0;
+/// A deadline missed by so much, by the owner's estimate, is lost.
+const MOST_LATE_US: i64 = 2_000_000;
+
+impl Job {
+    /// Its priority: the highest of its own and of all that need it.
+    pub fn rank(&self) -> Rank {
+        let inherited = self.inherited.map_or(self.desc.rank, |i| i.rank);
+        inherited.max(self.desc.rank)
+    }
+
+    /// The time of day by which it must be done, for its own deadline and for those of the
+    /// jobs that need it.
+    pub fn due(&self) -> Option<Micros> {
+        let own = self.desc.due_s.map(|due| self.at + Micros::from_secs(due));
+        let inherited = self.inherited.and_then(|i| i.due);
+        own.into_iter().chain(inherited).min()
+    }
+
+    /// Its place among the jobs of one rank.
+    pub fn urgency(&self, day: Micros) -> Urgency {
+        if self.due().is_none() {
+            return match self.starts_within {
+                Some(_) => Urgency::ToStart(self.since),
+                None => Urgency::Background(self.work_per_wait(day)),
+            };
+        }
+        let slack = self.slack(day);
+        let pressing = slack.max(0) as f64 / 1e6 + LEAST_PRESSING_S;
+        let order = (pressing * self.work_left() / self.choice.weight) as u64;
+        if slack < -MOST_LATE_US {
+            Urgency::Late(order)
+        } else {
+            Urgency::Due(order)
+        }
+    }
+
+    /// Core-seconds that its tasks still take, as its owner estimates.
+    pub(super) fn work_left(&self) -> f64 {
+        let tasks = f64::from(self.desc.tasks - self.done.len());
+        tasks * self.desc.cores.max(0.1) * self.desc.estimate_s.max(0.1)
+    }
+
+    /// Core-seconds left for each second that it has waited. Guards against an array of
+    /// tens of thousands of tasks before which hundreds of small jobs wait.
+    pub(super) fn work_per_wait(&self, day: Micros) -> u64 {
+        let waited = day.since(self.since).as_secs() + LEAST_WAITED_S;
+        (1e3 * self.work_left() / waited / self.choice.weight) as u64
+    }
+
+    /// Microseconds until it is due, less what its tasks still take; jobs
+    /// without a deadline come after those with one.
+    pub fn slack(&self, day: Micros) -> i64 {
+        match self.due() {
+            Some(due) => {
+                due.0 as i64 - day.0 as i64 - Micros::from_secs(self.desc.estimate_s).0 as i64
+            }
+            None => i64::MAX / 2,
+        }
+    }
+}
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::fleet::MachineType;
+use crate::ids::Label;
 use crate::settings::tests::settings;
 
 pub fn body() -> serde_json::Value {
