--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -337,8 +337,8 @@
     assert_eq!(told.0, 422);
     let fitting = told.1.split(' ').find_map(|w| w.parse::<usize>().ok());
     assert_eq!(fitting, Some(2_000), "{}", told.1);
-    let about = told.1.split(' ').filter_map(|w| w.parse::<usize>().ok());
-    let about = about.last().expect("how many fit");
+    let mut about = told.1.split(' ').filter_map(|w| w.parse::<usize>().ok());
+    let about = about.next_back().expect("how many fit");
     let some = json!(names[..about - 20]);
     let told = submit_naming(some, view(), |_| Reply::Missing, |_| Found::Nothing).await;
     assert!(told.1.contains("never accepted"), "{}", told.1);
--- a/src/blocks/holder/health.rs
+++ b/src/blocks/holder/health.rs
@@ -69,7 +69,7 @@
         // and is replaced as soon as it has nothing, or nothing to come of it.
         let lease = Micros::from_secs(self.settings.platform.workers.lease_s);
         let idle = |m: &Machine| m.attempts.values().all(|t| t.phase == Phase::Exited);
-        let mute = |m: &Machine| {
+        let unheard = |m: &Machine| {
             let since = m.last_report.unwrap_or(m.added).max(m.added).max(listening);
             m.last_heard.is_some()
                 && now.since(since) > silence
@@ -83,7 +83,7 @@
         let dead = self
             .machines
             .iter()
-            .filter(|(_, m)| silent(m) || mute(m) || suspects && m.suspect() || failed(m));
+            .filter(|(_, m)| silent(m) || unheard(m) || suspects && m.suspect() || failed(m));
         dead.map(|(id, _)| id.clone()).take(most).collect()
     }
 }
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -80,16 +80,16 @@
         let Some(m) = self.machines.get_mut(&r.machine) else {
             return;
         };
-        let was_unsettled = m.unconfirmed;
+        let was_unconfirmed = m.unconfirmed;
         let events = m.observe(now, r);
-        let changed = was_unsettled || !events.is_empty();
+        let changed = was_unconfirmed || !events.is_empty();
         for event in events {
             self.event(now, &r.machine, event);
         }
         if changed {
             self.reweigh(&r.machine);
         }
-        self.settled |= was_unsettled;
+        self.settled |= was_unconfirmed;
     }
 
     /// The answer to a `/do`, or none.
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -236,22 +236,29 @@
         }))
     }
 
+    /// Whether the peers are to be told something now; if so, next after a while.
+    fn telling_is_due(&mut self, now: Micros) -> bool {
+        let due = now.since(self.last_told) >= TELL_EVERY;
+        if due {
+            self.last_told = now;
+        }
+        due
+    }
+
     /// Tells the peers that we are there, and nothing of the blocks. Guards against an
     /// outage of the store in which all controllers stop acting, think that they are alone,
     /// and turn unhealthy: users were not even refused.
     pub(super) fn tell_alive(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        if now.since(self.last_told) >= TELL_EVERY {
-            self.last_told = now;
+        if self.telling_is_due(now) {
             out.push(self.peer_state(now, Vec::new()));
         }
     }
 
     /// Tells the peers, gives up what is idle, and writes the sums.
     pub(super) fn tell(&mut self, now: Micros, day: Micros, out: &mut Vec<Effect>) {
-        if now.since(self.last_told) < TELL_EVERY {
+        if !self.telling_is_due(now) {
             return;
         }
-        self.last_told = now;
         let fleet = self.fleet;
         self.needs = self
             .held
--- a/src/controller/tests/added.rs
+++ b/src/controller/tests/added.rs
@@ -16,20 +16,24 @@
     let mut w = started(1, 2);
     w.submit(&desc("j-1", 4));
     w.pass(3.0);
-    let deaf = w.running("j-1/0")[0];
-    w.workers[deaf].deaf = true;
+    let unreachable = w.running("j-1/0")[0];
+    w.workers[unreachable].unreachable = true;
     // It is fuller, so it would be the better place.
     w.submit(&desc("j-2", 2));
     w.pass(15.0);
-    assert_eq!(w.running("j-2/0"), vec![1 - deaf], "work goes elsewhere");
+    assert_eq!(
+        w.running("j-2/0"),
+        vec![1 - unreachable],
+        "work goes elsewhere"
+    );
     assert!(
-        w.returned.contains(&w.workers[deaf].id),
+        w.returned.contains(&w.workers[unreachable].id),
         "suspect, so returned"
     );
     w.pass(3.0);
     assert_eq!(
         w.running("j-1/0"),
-        vec![1 - deaf],
+        vec![1 - unreachable],
         "and only then once more"
     );
 }
@@ -41,16 +45,20 @@
     w.submit(&desc("j-1", 4));
     w.submit(&desc("j-2", 2));
     w.pass(3.0);
-    let deaf = w.running("j-1/0")[0];
-    w.workers[deaf].deaf = true;
+    let unreachable = w.running("j-1/0")[0];
+    w.workers[unreachable].unreachable = true;
     w.pass(10.0);
-    assert_eq!(w.running("j-1/0"), vec![deaf], "it may still run there");
+    assert_eq!(
+        w.running("j-1/0"),
+        vec![unreachable],
+        "it may still run there"
+    );
     w.cancel("j-2");
     w.submit(&desc("j-3", 8));
     // Its lease ends by itself, and the next report shows it by its session.
     w.pass(w.cancel_s() - 12.0);
     assert!(w.running("j-2/0").is_empty(), "cancelled in time");
-    assert_eq!(w.running("j-1/0"), vec![1 - deaf]);
+    assert_eq!(w.running("j-1/0"), vec![1 - unreachable]);
 }
 
 /// Seen at a holder out of sockets: its workers could not connect, but it spoke to
@@ -60,8 +68,8 @@
     let mut w = started(1, 2);
     w.submit(&desc("j-1", 4));
     w.pass(3.0);
-    let mute = w.running("j-1/0")[0];
-    w.workers[mute].mute = true;
+    let unheard = w.running("j-1/0")[0];
+    w.workers[unheard].unheard = true;
     // Or it would be replaced once its first session is over.
     w.cloud_down = true;
     // The other has no room, so all goes on where it is.
@@ -70,7 +78,7 @@
     let lease_s = w.nodes[0].settings.platform.workers.lease_s;
     // Its session ends and the next one begins; no task may be on both machines.
     w.pass(lease_s + 15.0);
-    assert_eq!(w.workers[mute].session, 2);
+    assert_eq!(w.workers[unheard].session, 2);
     w.cancel("j-2");
     w.pass(2.0 * lease_s);
     assert_eq!(w.running("j-1/0").len(), 1);
--- a/src/controller/tests/meetings.rs
+++ b/src/controller/tests/meetings.rs
@@ -264,7 +264,7 @@
     while w.workers[at].token == first {
         w.pass(0.1);
     }
-    w.workers[at].deaf = true;
+    w.workers[at].unreachable = true;
     w.submit(&desc("j-2", 8));
     let mut blue = desc("j-3", 8);
     blue.team = "blue".into();
@@ -302,7 +302,7 @@
     while w.workers[at].token == first {
         w.pass(0.1);
     }
-    w.workers[at].deaf = true;
+    w.workers[at].unreachable = true;
     w.submit(&desc("j-2", 8));
     w.pass(12.0);
     assert!(w.workers[at].running("j-1/").count() > 0);
@@ -318,8 +318,8 @@
     w.task_time = Some(secs(4.0));
     w.submit(&desc("j-1", 2));
     w.pass(3.0);
-    let mute = w.running("j-1/0")[0];
-    w.workers[mute].mute = true;
+    let unheard = w.running("j-1/0")[0];
+    w.workers[unheard].unheard = true;
     w.pass(6.0);
     assert_eq!(
         w.ended("j-1"),
@@ -331,16 +331,16 @@
     w.task_time = None;
     for n in 2..10 {
         let words = w.done_directs.len();
-        while n == 2 && w.done_directs[words..].iter().all(|(at, _)| *at != mute) {
+        while n == 2 && w.done_directs[words..].iter().all(|(at, _)| *at != unheard) {
             w.pass(0.1);
         }
         w.submit(&desc(&format!("j-{n}"), 1));
         w.pass(0.5);
-        assert_eq!(w.workers[mute].running("").count(), 0);
+        assert_eq!(w.workers[unheard].running("").count(), 0);
     }
     assert_eq!(w.all_running(), 8);
     w.pass(15.0);
-    assert_eq!(w.returned, [w.workers[mute].id.clone()]);
+    assert_eq!(w.returned, [w.workers[unheard].id.clone()]);
 }
 
 #[test]
@@ -348,15 +348,15 @@
     let mut w = started(1, 3);
     w.submit(&desc("j-1", 2));
     w.pass(3.0);
-    let mute = w.running("j-1/0")[0];
-    w.workers[mute].mute = true;
+    let unheard = w.running("j-1/0")[0];
+    w.workers[unheard].unheard = true;
     w.pass(20.0);
-    assert_eq!(w.running("j-1/0"), [mute], "nothing is lost before");
+    assert_eq!(w.running("j-1/0"), [unheard], "nothing is lost before");
     assert!(w.returned.is_empty());
     w.pass(20.0);
-    assert!(w.returned.contains(&w.workers[mute].id));
+    assert!(w.returned.contains(&w.workers[unheard].id));
     assert_eq!(w.running("j-1/0").len(), 1);
-    assert_ne!(w.running("j-1/0"), [mute]);
+    assert_ne!(w.running("j-1/0"), [unheard]);
 }
 
 #[test]
--- a/src/controller/tests/pairs.rs
+++ b/src/controller/tests/pairs.rs
@@ -37,8 +37,8 @@
     Reload,
     Cut,
     ZoneCut,
-    Mute,
-    Deaf,
+    ReportsLost,
+    CommandsLost,
     Hang,
     Reborn,
     LateCommands,
@@ -63,8 +63,8 @@
     Trouble::Reload,
     Trouble::Cut,
     Trouble::ZoneCut,
-    Trouble::Mute,
-    Trouble::Deaf,
+    Trouble::ReportsLost,
+    Trouble::CommandsLost,
     Trouble::Hang,
     Trouble::Reborn,
     Trouble::LateCommands,
@@ -169,8 +169,14 @@
                 let there = w.workers.iter_mut().filter(|w| w.zone == "x");
                 there.for_each(|m| m.cut = on);
             }
-            Trouble::Mute => plan.machines.iter().for_each(|m| w.workers[*m].mute = on),
-            Trouble::Deaf => plan.machines.iter().for_each(|m| w.workers[*m].deaf = on),
+            Trouble::ReportsLost => plan
+                .machines
+                .iter()
+                .for_each(|m| w.workers[*m].unheard = on),
+            Trouble::CommandsLost => plan
+                .machines
+                .iter()
+                .for_each(|m| w.workers[*m].unreachable = on),
             Trouble::Hang => plan.machines.iter().for_each(|m| w.workers[*m].hung = on),
             Trouble::Reborn => {
                 let there = plan.machines.iter().filter(|_| on);
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -211,9 +211,9 @@
     pub node: Option<usize>,
     pub cut: bool,
     /// Its reports arrive, but answers and commands don't reach it.
-    pub deaf: bool,
+    pub unreachable: bool,
     /// Its reports don't arrive, but commands reach it.
-    pub mute: bool,
+    pub unheard: bool,
     /// It stands still: it does nothing, and what is sent to it waits.
     pub hung: bool,
     waiting: Vec<Direct>,
@@ -238,8 +238,8 @@
             tasks: BTreeMap::new(),
             node: None,
             cut: false,
-            deaf: false,
-            mute: false,
+            unreachable: false,
+            unheard: false,
             hung: false,
             waiting: vec![],
             launched: vec![],
@@ -533,7 +533,7 @@
             return DirectAnswer::Lost;
         }
         let w = &self.workers[at];
-        if w.cut || w.deaf || self.returned.contains(machine) {
+        if w.cut || w.unreachable || self.returned.contains(machine) {
             return DirectAnswer::NotSent;
         }
         if w.hung {
@@ -844,7 +844,7 @@
         if w.hung {
             return;
         }
-        if w.cut || w.mute {
+        if w.cut || w.unheard {
             if self.copying {
                 let report = self.workers[at].report();
                 self.copies.push(report);
@@ -860,7 +860,7 @@
                 n.core.is_some() && !n.no_workers && !n.frozen
             })
             .collect();
-        if self.workers[at].deaf {
+        if self.workers[at].unreachable {
             // It waits in vain for an answer, and then tries the next node.
             let next = self.workers[at]
                 .node
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -103,7 +103,7 @@
         && !m.load.unknown
         && m.taken_at.is_none()
         && m.unsent_commands == 0
-        // Guards against work for a mute machine: it hears direct commands, but reaches
+        // Guards against work for an unheard machine: it hears direct commands, but reaches
         // no controller, so that its session ends with its lease, again and again.
         && m.last_report.is_some_and(|h| now.since(h) < heard_within)
         && !m.suspect()
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -107,21 +107,24 @@
 /// guarantee from one that runs above its own. Only if little is lost for what is
 /// won (`WORTH_IT`).
 pub fn preempt(scene: &SchedulingSnapshot<'_>) -> Preemption {
-    let lowest = lowest_running(scene);
     let mut jobs: Vec<(&JobId, &Job)> = scene
         .jobs
         .iter()
         .filter(|(_, j)| launchable(j, scene.now, scene.recovery) && pressed(j, scene.day))
         // Where its tasks may go changes with each; it waits for its turn.
         .filter(|(_, j)| !j.desc.one_zone && !j.desc.apart)
-        // Guards against walks over all machines for work that may stop nothing there:
-        // with the fleet full they took most of the holder's processor time, until it
-        // could not read its machines' reports.
-        .filter(|(_, j)| lowest.is_some_and(|l| l < j.rank()) || guaranteed(scene, j))
         .collect();
     if jobs.is_empty() {
         return Preemption::default();
     }
+    // Guards against walks over all machines for work that may stop nothing there: with
+    // the fleet full they took most of the holder's processor time, until it could not
+    // read its machines' reports.
+    let lowest = lowest_running(scene);
+    jobs.retain(|(_, j)| lowest.is_some_and(|l| l < j.rank()) || guaranteed(scene, j));
+    if jobs.is_empty() {
+        return Preemption::default();
+    }
     let mut machines_compared = 0;
     let mut weights = scene.weights.clone();
     let heavy: BTreeMap<usize, f64> = scene
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn an_unsettled_machine_gets_no_orders_until_it_has_seen_our_token() {
+fn an_unconfirmed_machine_gets_no_orders_until_it_has_seen_our_token() {
     let mut m = machine();
     m.unconfirmed = true;
     launch(&mut m, "j-1/0", 7);
