--- a/src/api/read_index.rs
+++ b/src/api/read_index.rs
@@ -121,6 +121,9 @@
                     // that it is cancelled with the one whose end is being read here.
                     None => self.waiting.push(q),
                 }
+            } else if mirror.unreadable_jobs.contains(&q.id) {
+                // It was accepted: "no such job" would make it forgotten.
+                out.push(Effect::Found(q.ticket, Found::Unreadable));
             } else {
                 out.extend(self.read_record(q, sent));
             }
--- a/src/api/read_index/tests.rs
+++ b/src/api/read_index/tests.rs
@@ -129,3 +129,18 @@
     let late = d.expire(secs(3.5));
     assert_eq!(late, vec![Effect::Found(2, Found::Unreadable)]);
 }
+
+/// "No such job" would make an accepted one forgotten.
+#[test]
+fn a_job_whose_record_cant_be_read_is_not_called_unknown() {
+    let mut d = ReadIndex::default();
+    let mut mirror = Mirror::default();
+    mirror.load(vec![Row {
+        key: "r/jobs/j-1".into(),
+        value: serde_json::json!({"desc": 7}),
+        revision: crate::ids::Revision(4),
+    }]);
+    assert_eq!(d.ask(secs(1.0), "j-1".into(), 5, true), None);
+    let told = d.reading(secs(1.1), &mirror, &DependencyGraph::default());
+    assert_eq!(told, vec![Effect::Found(5, Found::Unreadable)]);
+}
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -137,9 +137,12 @@
             while let Ok(Some(Ok(frame))) =
                 tokio::time::timeout(Duration::from_secs(20), framed.next()).await
             {
-                if let Some(message) = decode(&frame)
-                    && hand_on.send(message).await.is_err()
-                {
+                let Some(message) = decode(&frame) else {
+                    // Of another version, most likely: what it says only speeds things up.
+                    tracing::debug!(bytes = frame.len(), "a peer's frame can't be read: dropped");
+                    continue;
+                };
+                if hand_on.send(message).await.is_err() {
                     return;
                 }
             }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -13,7 +13,7 @@
 use crate::jobs::{JobRecord, ProgressRecord};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 type Table<K, V> = BTreeMap<K, (Revision, V)>;
@@ -41,6 +41,11 @@
     pub(crate) home: BTreeMap<MachineId, (BlockId, u32)>,
     /// Jobs that are not over.
     pub jobs: Table<JobId, Rc<JobRecord>>,
+    /// Jobs that are not over and whose record can't be read: nothing of them starts, and
+    /// nobody says that they are unknown.
+    pub unreadable_jobs: BTreeSet<JobId>,
+    /// Records that could not be read so far.
+    pub unreadable: u64,
     /// Their progress, in pages.
     pub pages: Table<(JobId, u32), ProgressRecord>,
     /// Rentals that are not settled.
@@ -64,26 +69,22 @@
     Other,
 }
 
-fn put<K: Ord, T: DeserializeOwned>(
-    table: &mut Table<K, T>,
-    key: K,
-    value: Option<Value>,
-    revision: Revision,
-) {
-    match value.and_then(|v| serde_json::from_value(v).ok()) {
-        Some(v) => table.insert(key, (revision, v)),
-        None => table.remove(&key),
-    };
+/// What a key's value says; none: there is none, or it can't be read. An earlier or a
+/// later version may have written it, so it is told and counted, and never guessed at.
+fn read<T: DeserializeOwned>(key: &str, value: Option<Value>, unreadable: &mut u64) -> Option<T> {
+    match serde_json::from_value(value?) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            *unreadable += 1;
+            tracing::error!(key, %error, "a record can't be read");
+            None
+        }
+    }
 }
 
-fn put_rc<K: Ord, T: DeserializeOwned>(
-    table: &mut Table<K, Rc<T>>,
-    key: K,
-    value: Option<Value>,
-    revision: Revision,
-) {
-    match value.and_then(|v| serde_json::from_value(v).ok()) {
-        Some(v) => table.insert(key, (revision, Rc::new(v))),
+fn put<K: Ord, T>(table: &mut Table<K, T>, key: K, record: Option<T>, revision: Revision) {
+    match record {
+        Some(record) => table.insert(key, (revision, record)),
         None => table.remove(&key),
     };
 }
@@ -110,67 +111,64 @@
     }
 
     fn apply(&mut self, key: &str, value: Option<Value>, revision: Revision) -> Touched {
+        let unreadable = &mut self.unreadable;
         let parts: Vec<&str> = key.split('/').collect();
         match parts.as_slice() {
             ["r", "term"] => {
-                let rec = value.and_then(|v| serde_json::from_value(v).ok());
-                self.term = rec.map_or_else(Default::default, |r| (revision, r));
+                let record = read(key, value, unreadable);
+                self.term = record.map_or_else(Default::default, |r| (revision, r));
             }
             ["r", "leader"] => {
-                self.leader = value
-                    .and_then(|v| serde_json::from_value(v).ok())
-                    .map(|r| (revision, r));
+                self.leader = read(key, value, unreadable).map(|r| (revision, r));
             }
             ["r", "types"] => {
-                self.types = value
-                    .and_then(|v| serde_json::from_value(v).ok())
-                    .map(|r| (revision, r));
+                self.types = read(key, value, unreadable).map(|r| (revision, r));
             }
             ["r", "format"] => {
-                self.format = value
-                    .and_then(|v| serde_json::from_value(v).ok())
-                    .map(|r| (revision, r));
+                self.format = read(key, value, unreadable).map(|r| (revision, r));
+            }
+            ["r", "members", label] => {
+                let record = read(key, value, unreadable);
+                put(&mut self.members, Label::from(*label), record, revision);
             }
-            ["r", "members", label] => put(&mut self.members, Label::from(*label), value, revision),
             ["r", "sums", label] => put(&mut self.sums, Label::from(*label), value, revision),
-            ["r", "hires", name] => put(&mut self.rentals, name.to_string(), value, revision),
-            ["r", "blocks", b, what] => {
+            ["r", "hires", name] => {
+                let record = read(key, value, unreadable);
+                put(&mut self.rentals, name.to_string(), record, revision);
+            }
+            ["r", "blocks", b, "holder"] => {
                 let Ok(b) = b.parse().map(BlockId) else {
                     return Touched::Other;
                 };
-                if *what == "holder" {
-                    put(&mut self.holders, b, value, revision);
-                    return Touched::Holder(b);
-                }
+                let record = read(key, value, unreadable);
+                put(&mut self.holders, b, record, revision);
+                return Touched::Holder(b);
             }
             ["r", "blocks", b, "machines", shard] => {
                 let (Ok(b), Ok(shard)) = (b.parse().map(BlockId), shard.parse()) else {
                     return Touched::Other;
                 };
-                let at = (b, shard);
-                if let Some((_, old)) = self.machines.get(&at) {
-                    // A machine that moved may be at its new place already.
-                    for id in old.0.keys() {
-                        if self.home.get(id) == Some(&at) {
-                            self.home.remove(id);
-                        }
-                    }
-                }
-                put_rc(&mut self.machines, at, value, revision);
-                if let Some((_, new)) = self.machines.get(&at) {
-                    self.home.extend(new.0.keys().map(|id| (id.clone(), at)));
-                }
+                let record = read(key, value, unreadable).map(Rc::new);
+                self.put_shard((b, shard), record, revision);
                 return Touched::Machines(b, shard);
             }
             ["r", "jobs", id] => {
                 let id = JobId::from(*id);
-                put_rc(&mut self.jobs, id.clone(), value, revision);
+                let there = value.is_some();
+                let record = read(key, value, unreadable).map(Rc::new);
+                if there && record.is_none() {
+                    self.unreadable_jobs.insert(id.clone());
+                } else {
+                    self.unreadable_jobs.remove(&id);
+                }
+                put(&mut self.jobs, id.clone(), record, revision);
                 return Touched::Job(id);
             }
             ["r", "done", id, page] => {
                 if let Ok(page) = page.parse() {
                     let id = JobId::from(*id);
-                    put(&mut self.pages, (id.clone(), page), value, revision);
+                    let record = read(key, value, unreadable);
+                    put(&mut self.pages, (id.clone(), page), record, revision);
                     return Touched::Page(id, page);
                 }
             }
@@ -179,6 +177,26 @@
         Touched::Other
     }
 
+    fn put_shard(
+        &mut self,
+        at: (BlockId, u32),
+        record: Option<Rc<MachinesRecord>>,
+        revision: Revision,
+    ) {
+        if let Some((_, old)) = self.machines.get(&at) {
+            // A machine that moved may be at its new place already.
+            for id in old.0.keys() {
+                if self.home.get(id) == Some(&at) {
+                    self.home.remove(id);
+                }
+            }
+        }
+        put(&mut self.machines, at, record, revision);
+        if let Some((_, new)) = self.machines.get(&at) {
+            self.home.extend(new.0.keys().map(|id| (id.clone(), at)));
+        }
+    }
+
     /// The revision of a block's holder key, 0 if it has none.
     pub fn holder_revision(&self, b: BlockId) -> Revision {
         self.holders.get(&b).map_or(Revision(0), |h| h.0)
--- a/src/store/mirror/tests.rs
+++ b/src/store/mirror/tests.rs
@@ -21,3 +21,36 @@
     assert_eq!(at("m-2"), Some((BlockId(0), 0)));
     assert_eq!(m.machines_of(BlockId(0)).count(), 1);
 }
+
+#[test]
+fn what_cant_be_read_is_counted_and_dropped_and_its_job_is_not_unknown() {
+    let job = JobId::from("j-1");
+    let rec = crate::jobs::tests::rec("j-1", 4, crate::ids::Term(1));
+    let good = serde_json::to_value(rec).expect("a record");
+    let broken = serde_json::json!({"desc": 7});
+    let keys = [
+        "r/term",
+        "r/leader",
+        "r/types",
+        "r/format",
+        "r/members/c0",
+        "r/hires/r-1",
+        "r/blocks/0/holder",
+        "r/blocks/0/machines/0",
+        "r/jobs/j-1",
+        "r/done/j-1/0000",
+    ];
+    let mut m = Mirror::default();
+    for (n, key) in (1..).zip(keys) {
+        m.apply(key, Some(broken.clone()), Revision(n));
+        assert_eq!(m.unreadable, n, "{key}");
+    }
+    assert!(m.jobs.is_empty() && m.pages.is_empty() && m.machines.is_empty());
+    assert!(m.unreadable_jobs.contains(&job));
+    // Gone is not unreadable.
+    m.apply("r/jobs/j-1", None, Revision(20));
+    assert!(m.unreadable_jobs.is_empty());
+    m.apply("r/jobs/j-1", Some(good), Revision(21));
+    assert!(m.jobs.contains_key(&job) && m.unreadable_jobs.is_empty());
+    assert_eq!(m.unreadable, 10);
+}
