--- a/src/blocks/holder/tests.rs
+++ b/src/blocks/holder/tests.rs
@@ -142,3 +142,62 @@
     assert_eq!(b.give_up(secs(106.0)), None);
     assert_eq!(b.h.machines[&"m-1".into()].leaving, Leaving::No);
 }
+
+/// While an earlier version leads, nobody else splits what that one has filled up to the
+/// higher limit.
+#[test]
+fn a_shard_that_is_too_large_is_split_by_its_holder_when_it_changes_a_machine_there() {
+    let mut bench = Bench::new();
+    let settings = Rc::make_mut(&mut bench.h.settings);
+    settings.platform.state.next = Some(crate::settings::NextStateLimits {
+        value_kb: Some(2.0),
+        txn_ops: Some(5),
+        ..Default::default()
+    });
+    let blank = |n: usize| {
+        let rec = MachineRecord::blank("10.1.0.1:9000".into(), "big", "x", false);
+        (MachineId::from(format!("m-{n}")), rec)
+    };
+    let all = MachinesRecord((1..=60).map(blank).collect());
+    let value = serde_json::to_value(&all).expect("a record");
+    let key = keys::machines(BlockId(0), 0);
+    told(&mut bench.mirror, key.clone(), value, 7);
+    let used = keys::machines(BlockId(0), 1);
+    told(&mut bench.mirror, used.clone(), serde_json::json!({}), 8);
+    let now = secs(2.0);
+    bench.h.sync_shard(now, 0, &bench.mirror, &types(), false);
+    for s in [2.5, 4.0] {
+        bench.report(secs(s));
+    }
+    bench
+        .h
+        .machines
+        .get_mut(&"m-1".into())
+        .expect("a machine")
+        .used = false;
+    bench.h.to_open = true;
+    let opened = bench.h.open(secs(5.0), &bench.mirror);
+    let Some(Effect::Txn(Write::Open(ids), conds, ops)) = opened else {
+        panic!("{opened:?}");
+    };
+    assert_eq!(ids, vec![MachineId::from("m-1")]);
+    assert!(ops.len() > 1 && ops.len() <= 5, "{} changes", ops.len());
+    // Conditional on the holder, on the shard as it was, and on numbers that are free.
+    assert_eq!(conds[1], crate::store::cond(key, Revision(7)));
+    assert!(
+        conds[2..]
+            .iter()
+            .all(|c| c.revision == Revision(0) && c.key != used)
+    );
+    let mut joined = BTreeMap::new();
+    for op in ops {
+        let Op::Set { value, .. } = op else {
+            panic!("only sets")
+        };
+        assert!(value.to_string().len() <= 2048);
+        let part: MachinesRecord = serde_json::from_value(value).expect("a shard");
+        joined.extend(part.0);
+    }
+    assert_eq!(joined.len(), 60, "each once");
+    assert!(joined[&MachineId::from("m-1")].used);
+}
--- a/src/controller/tests/state_limits.rs
+++ b/src/controller/tests/state_limits.rs
@@ -43,11 +43,12 @@
 }
 
 /// A shard as the version in production fills it under the higher limit.
-fn old_shard(machines: usize) -> Op {
+fn old_shard(machines: usize, used: bool) -> Op {
     let mut shard = MachinesRecord::default();
     for n in 0..machines {
         let id = MachineId::from(format!("m-{n:06}"));
-        let rec = MachineRecord::blank(format!("{id}:1"), "big", "x", false);
+        let mut rec = MachineRecord::blank(format!("{id}:1"), "big", "x", false);
+        rec.used = used;
         shard.0.insert(id, rec);
     }
     store::set(keys::machines(BlockId(0), 0), &shard)
@@ -77,10 +78,11 @@
 }
 
 /// With 60 machines in one shard of some 4 KB, of which nothing could be changed any more.
+/// All are in use already, so their holder has nothing to write there: the leader does it.
 #[test]
 fn a_shard_from_before_is_split_in_time() {
     let mut w = World::with(2, 60, announce);
-    w.store.commit(vec![old_shard(60)]);
+    w.store.commit(vec![old_shard(60, true)]);
     assert!(shards(&w)[0].0 > VALUE_BYTES);
     w.pass(15.0);
     assert!(shards(&w).iter().all(|(bytes, _)| *bytes <= VALUE_BYTES));
@@ -94,7 +96,7 @@
 #[test]
 fn a_shard_from_before_is_split_when_first_touched_after_the_limits_fell() {
     let mut w = World::with(2, 60, announce);
-    w.store.commit(vec![old_shard(60)]);
+    w.store.commit(vec![old_shard(60, false)]);
     fall(&mut w);
     w.pass(15.0);
     assert!(shards(&w).iter().all(|(bytes, _)| *bytes <= VALUE_BYTES));
@@ -153,7 +155,7 @@
 
 #[test]
 fn a_shard_splits_into_parts_of_which_each_fits() {
-    let Op::Set { value, .. } = old_shard(70) else {
+    let Op::Set { value, .. } = old_shard(70, false) else {
         panic!("a shard");
     };
     let shard: MachinesRecord = serde_json::from_value(value).expect("a shard");
