--- a/src/store/client/tests.rs
+++ b/src/store/client/tests.rs
@@ -103,3 +103,19 @@
     assert_eq!(rate_after(18.0), 18.0);
     assert_eq!(rate_after(25.0), 25.0, "where no other limit is to come");
 }
+
+#[test]
+fn a_value_over_the_limit_is_found_before_it_is_sent() {
+    let set = |n: usize| super::super::set(format!("a/{n}"), &"x".repeat(n));
+    // The quotes count.
+    let ops = [super::super::delete("a/0".into()), set(1_998), set(1_999)];
+    assert_eq!(oversize(&ops, 2_001), None);
+    assert_eq!(oversize(&ops, 2_000), Some(("a/1999", 2_001)));
+    assert_eq!(oversize(&ops, 1_000), Some(("a/1998", 2_000)));
+    let conds = Vec::new();
+    let request = Request::Txn {
+        conds,
+        ops: ops.to_vec(),
+    };
+    assert_eq!(keys_of(&request), ["a/0", "a/1998", "a/1999"]);
+}
