After a take-over, a job whose last dependency was done since waits for no silent machine

No earlier holder can have begun it: it may start a job only once all ends before it are stored, and its lease was over when the block was granted. So an end at a later revision than the grant is as good as an acceptance after it.

--- a/src/blocks/holder/sync.rs
+++ b/src/blocks/holder/sync.rs
@@ -197,6 +197,7 @@
         }
         let recovery = (!silent.is_empty()).then_some(Recovery {
             term: self.term,
+            granted: self.revision,
             silent,
         });
         // Fewer kinds that are silent: more jobs that can't be there.
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -19,7 +19,6 @@
 use crate::fleet::manager::{self, Manager, Types};
 use crate::fleet::{CloudReply, CloudRequest};
 use crate::ids::{BlockId, JobId, Label, Revision, Term};
-use crate::jobs::Standing;
 use crate::jobs::dependencies::{DependencyGraph, JobEnd};
 use crate::mesh::{BlockState, Message, PeerState};
 use crate::placement::Need;
--- a/src/controller/core/replies.rs
+++ b/src/controller/core/replies.rs
@@ -85,14 +85,12 @@
 
     /// Ends that the store has confirmed are known without another read.
     pub(super) fn ends_stored(&mut self, write: &holder::Write, reply: &Reply) {
-        let (holder::Write::Ends { ends, at, .. }, Reply::Committed(_)) = (write, reply) else {
+        let (holder::Write::Ends { ends, at, .. }, Reply::Committed(revision)) = (write, reply)
+        else {
             return;
         };
         for (id, standing) in ends {
-            let end = match standing {
-                Standing::Done => JobEnd::Done(Some(*at)),
-                _ => JobEnd::Cancelled,
-            };
+            let end = JobEnd::new(*standing, Some(*at), *revision);
             self.dependencies.end_stored(id, end);
         }
     }
--- a/src/controller/tests/dependencies.rs
+++ b/src/controller/tests/dependencies.rs
@@ -254,3 +254,40 @@
     assert!(w.started_ever("j-2"));
     assert!(w.now > secs(0.0));
 }
+
+/// While a machine of the take-over is silent, older jobs wait for it, since their tasks may
+/// run there. No earlier holder can have begun a job whose last dependency was done later.
+#[test]
+fn what_gets_ready_after_a_take_over_does_not_wait_for_its_silent_machines() {
+    // Silent machines count against the team's limit, too.
+    let mut w = World::with(2, 3, |v| {
+        v["settings"]["teams"][0]["cpus_max"] = 1_000.0.into();
+    });
+    w.pass(6.0);
+    w.submit(&desc("j-1", 1));
+    w.submit(&needing("j-2", &["j-1"]));
+    // Accepted before, and never begun for want of room.
+    let mut older = desc("j-3", 4);
+    older.cores = 14.0;
+    w.submit(&older);
+    w.pass(3.0);
+    let first = w.running("j-1/0")[0];
+    let silent = (0..3).find(|at| *at != first).expect("a machine");
+    w.workers[silent].hung = true;
+    let holder = w.holder();
+    w.crash(holder);
+    w.pass(21.0);
+    assert_ne!(w.holder(), holder);
+    // Room for the fourth task of the older one, beside the silent machine.
+    let older_here = |w: &World| w.workers[first].running("j-3/").count();
+    assert_eq!(older_here(&w), 1);
+    let ends = (0..4).find(|i| w.running(&format!("j-3/{i}")) == [first]);
+    w.finish(&format!("j-3/{}", ends.expect("a task")));
+    w.finish("j-1/0");
+    w.pass(2.0);
+    assert_eq!(w.ended("j-1"), Some(Standing::Done));
+    assert!(w.started_ever("j-2"));
+    assert_eq!(older_here(&w), 0, "it waits");
+    w.pass(40.0);
+    assert_eq!(older_here(&w), 1, "until nothing can run there any more");
+}
--- a/src/jobs/dependencies.rs
+++ b/src/jobs/dependencies.rs
@@ -21,18 +21,40 @@
 /// How a job ended that others name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobEnd {
-    /// Every task is done, since this time of day; none: an earlier version did not
-    /// record it.
-    Done(Option<Micros>),
+    /// Every task is done.
+    Done(DoneAt),
     /// It will never be done.
     Cancelled,
 }
 
+/// When a job was done, or the last one of several.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct DoneAt {
+    /// The time of day; none: an earlier version did not record it.
+    pub day: Option<Micros>,
+    /// The store's revision.
+    pub revision: Revision,
+}
+
+impl DoneAt {
+    fn last(self, other: DoneAt) -> DoneAt {
+        DoneAt {
+            day: self.day.max(other.day),
+            revision: self.revision.max(other.revision),
+        }
+    }
+}
+
 impl JobEnd {
-    /// The end that a record tells of.
-    pub fn of(record: &EndedRecord) -> JobEnd {
-        match record.standing {
-            Standing::Done => JobEnd::Done(record.at),
+    /// The end that a record of this revision tells of.
+    pub fn of(record: &EndedRecord, revision: Revision) -> JobEnd {
+        JobEnd::new(record.standing, record.at, revision)
+    }
+
+    /// An end that was stored at this revision.
+    pub fn new(standing: Standing, day: Option<Micros>, revision: Revision) -> JobEnd {
+        match standing {
+            Standing::Done => JobEnd::Done(DoneAt { day, revision }),
             _ => JobEnd::Cancelled,
         }
     }
@@ -41,8 +63,8 @@
 /// Whether a job may start, as far as the jobs before it decide it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Readiness {
-    /// All jobs before it are done: the last one at this time of day, if that is known.
-    Ready(Option<Micros>),
+    /// All jobs before it are done, the last one then.
+    Ready(DoneAt),
     /// This one, at least, is not known to be done.
     Waiting(JobId),
     /// One before it was cancelled, and so is it.
@@ -207,15 +229,12 @@
 
     /// The record of an ended job was read, or not.
     pub fn end_read(&mut self, now: Micros, id: &JobId, reply: &Reply) {
-        let record = match reply {
-            Reply::Found(row) => serde_json::from_value::<EndedRecord>(row.value.clone()),
-            _ => {
-                self.read_again(now, id);
-                return;
-            }
+        let Reply::Found(row) = reply else {
+            self.read_again(now, id);
+            return;
         };
-        match record {
-            Ok(record) => self.end_stored(id, JobEnd::of(&record)),
+        match serde_json::from_value::<EndedRecord>(row.value.clone()) {
+            Ok(record) => self.end_stored(id, JobEnd::of(&record, row.revision)),
             Err(error) => {
                 // Whatever it says, it does not say done: nothing that needs it starts.
                 tracing::error!(job = %id, %error, "the record of an ended job can't be read");
@@ -235,10 +254,10 @@
         if self.cancelled.contains(id) {
             return Readiness::Cancelled;
         }
-        let mut last = None;
+        let mut last = DoneAt::default();
         for dependency in self.dependencies.get(id).into_iter().flatten() {
             match self.ends.get(dependency) {
-                Some(JobEnd::Done(at)) => last = last.max(*at),
+                Some(JobEnd::Done(at)) => last = last.last(*at),
                 _ => return Readiness::Waiting(dependency.clone()),
             }
         }
--- a/src/jobs/dependencies/tests.rs
+++ b/src/jobs/dependencies/tests.rs
@@ -7,6 +7,14 @@
     Micros::from_secs(s)
 }
 
+/// As the records of these tests say.
+fn done_at(s: f64) -> DoneAt {
+    DoneAt {
+        day: Some(secs(s)),
+        revision: Revision(9),
+    }
+}
+
 /// Jobs that are not over, each with those that it names.
 fn live(jobs: &[(&str, &[&str])]) -> LiveJobs {
     let job = |(id, needs): &(&str, &[&str])| {
@@ -69,7 +77,7 @@
     }
     let done = ended(Standing::Done, Some(secs(2.0)));
     graph.end_read(secs(6.0), &"j-1".into(), &done);
-    let ready = Readiness::Ready(Some(secs(2.0)));
+    let ready = Readiness::Ready(done_at(2.0));
     assert_eq!(graph.readiness(&"j-2".into()), ready);
     assert_eq!(graph.is_cancelled(&"j-2".into()), Some(false));
 }
@@ -188,7 +196,7 @@
     let jobs = LiveJobs::from([("j-99".into(), (Revision(1), Rc::new(record)))]);
     let mut graph = graph(&jobs);
     let mut read = 0;
-    while graph.readiness(&"j-99".into()) != Readiness::Ready(Some(secs(1.0))) {
+    while graph.readiness(&"j-99".into()) != Readiness::Ready(done_at(1.0)) {
         let out = graph.reads(secs(2.0));
         assert!(!out.is_empty() && out.len() <= MOST_READS);
         read += out.len();
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -45,6 +45,8 @@
     pub since: Micros,
     /// All jobs before it are known to be done.
     ready: bool,
+    /// The store's revision at which the last one of them was done.
+    ready_revision: Revision,
     /// One before it was cancelled.
     behind_cancelled: bool,
     /// What it has from the jobs that need it.
@@ -103,6 +105,7 @@
             at: rec.at,
             since: rec.at,
             ready: rec.desc.dependencies.is_empty(),
+            ready_revision: Revision(0),
             behind_cancelled: false,
             inherited: None,
             born: rec.born,
@@ -139,9 +142,10 @@
     pub fn set_readiness(&mut self, readiness: &Readiness) -> bool {
         let before = (self.ready, self.behind_cancelled);
         match readiness {
-            Readiness::Ready(at) => {
+            Readiness::Ready(done) => {
                 self.ready = true;
-                self.since = self.at.max(at.unwrap_or(self.at));
+                self.ready_revision = done.revision;
+                self.since = self.at.max(done.day.unwrap_or(self.at));
                 self.last_start = self.last_start.max(self.since);
             }
             Readiness::Waiting(_) => self.ready = false,
@@ -166,6 +170,13 @@
         self.ready && !self.behind_cancelled
     }
 
+    /// Whether a holder whose successor was granted the block at `term` and `granted` can
+    /// have started it: not if it was accepted after that, nor if the jobs before it were
+    /// done only then, since that holder's lease was over.
+    pub fn may_have_begun_before(&self, term: Term, granted: Revision) -> bool {
+        self.born < term && self.ready_revision <= granted
+    }
+
     /// Whether it wants machines for tasks of it. Guards against a job that starts before
     /// those that it names are done, and that takes room, rentals or its turn before then.
     pub fn wants_machines(&self) -> bool {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -294,8 +294,16 @@
     let mut job = Job::new(&record, Revision(1), 0, 64);
     assert!(!job.wants_machines(), "until it is known");
     let at = Micros::from_secs(90.0);
-    assert!(job.set_readiness(&Readiness::Ready(Some(at))));
-    assert!(!job.set_readiness(&Readiness::Ready(Some(at))), "no news");
+    let done = dependencies::DoneAt {
+        day: Some(at),
+        revision: Revision(70),
+    };
+    assert!(job.set_readiness(&Readiness::Ready(done)));
+    assert!(!job.set_readiness(&Readiness::Ready(done)), "no news");
+    // A holder before the grant at revision 69 can't have begun it.
+    assert!(job.may_have_begun_before(Term(2), Revision(70)));
+    assert!(!job.may_have_begun_before(Term(2), Revision(69)));
+    assert!(!job.may_have_begun_before(Term(1), Revision(70)));
     assert!(job.wants_machines());
     assert_eq!((job.since, job.last_start), (at, at));
     // The deadline counts from the submission all the same.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::Micros;
 use crate::fairness::{Resources, Weights, s};
-use crate::ids::{JobId, MachineId, Term};
+use crate::ids::{JobId, MachineId, Revision, Term};
 use crate::jobs::{Job, JobDesc};
 use crate::settings::Settings;
 use crate::workers::{Attempt, Leaving, Machine, Phase};
@@ -127,15 +127,17 @@
 pub struct Recovery {
     /// The term of the grant.
     pub term: Term,
+    /// The store's revision at which it was granted.
+    pub granted: Revision,
     /// The machines that have not reported since and may run anything, each kind once.
     pub silent: Vec<SilentMachines>,
 }
 
 impl Recovery {
-    /// Whether an attempt of a job may be on a machine that is still silent. One born
-    /// under this term has no old attempts; an older one has them only where it fits.
+    /// Whether an attempt of a job may be on a machine that is still silent. One that no
+    /// earlier holder can have begun has no old attempts; another only where it fits.
     fn may_hold(&self, job: &Job) -> bool {
-        job.born < self.term
+        job.may_have_begun_before(self.term, self.granted)
             && self.silent.iter().any(|m| {
                 job.may_have_been_on(&m.build, &m.zone, m.spot)
                     && m.capacity.is_none_or(|c| job.desc.request().fits_in(&c))
