--- a/src/ids.rs
+++ b/crates/rockdeal-types/src/ids.rs
@@ -144,6 +144,3 @@
         write!(f, "{}/{}", self.job, self.index)
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/ids/tests.rs
+++ b/crates/rockdeal-types/tests/ids.rs
@@ -1,4 +1,4 @@
-use super::*;
+use rockdeal_types::ids::{FencingToken, JobId, TaskId, Term};
 
 #[test]
 fn a_higher_term_beats_every_epoch_of_a_lower_one() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,13 +6,13 @@
 
 #![warn(missing_docs)]
 
+pub use rockdeal_types::{clock, ids};
+
 pub mod api;
 pub mod blocks;
-pub mod clock;
 pub mod controller;
 pub mod fairness;
 pub mod fleet;
-pub mod ids;
 pub mod jobs;
 pub mod mesh;
 pub mod placement;
