--- a/crates/rockdeal-types/src/lib.rs
+++ b/crates/rockdeal-types/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod clock;
 pub mod ids;
+pub mod suggestion;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,7 +6,8 @@
 use crate::clock::Micros;
 use crate::jobs::{JobDesc, Rank};
 use crate::settings::Settings;
-use lang::{Expr, Kind, PolicyError, SourcePosition, Value, fail, nearest};
+use lang::{Expr, Kind, PolicyError, SourcePosition, Value, fail};
+use rockdeal_types::suggestion::nearest;
 use std::path::Path;
 
 /// The policy without a file, as `rockdeal policy` prints it.
