--- a/crates/rockdeal-types/src/ids.rs
+++ b/crates/rockdeal-types/src/ids.rs
@@ -1,6 +1,7 @@
 //! Names and numbers that must not be mixed up.
 
 use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
 use std::fmt;
 use std::sync::Arc;
 
@@ -67,6 +68,10 @@
     /// A controller's name.
     Label
 );
+name!(
+    /// A zone: machines that one loss of power or network may take away together.
+    ZoneId
+);
 number!(
     /// A fencing term: every grant gets a new one, and numbers are never reused.
     Term
@@ -92,6 +97,13 @@
     BlockId
 );
 
+/// Alike in order and in equality, so that maps by zone can be asked with plain text.
+impl Borrow<str> for ZoneId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 /// How many epochs a holder has below each term.
 const EPOCH_BITS: u32 = 20;
 
--- /dev/null
+++ b/crates/zone-failover/src/evacuation.rs
@@ -0,0 +1,214 @@
+//! The evacuation of lost zones: the order of displaced work among all that waits, and the
+//! waves in which it may ask for machines elsewhere.
+
+use crate::record::ZoneRecord;
+use crate::settings::WaveSettings;
+use rockdeal_types::clock::Micros;
+use rockdeal_types::ids::{JobId, MachineId, ZoneId};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The place of a displaced job among the others, by the operators' expression.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EvacuationPriority {
+    /// What the expression gives: higher goes first.
+    pub value: f64,
+    /// A service goes before other work of the same priority.
+    pub service: bool,
+    /// One task or several: arrays come after single tasks of the same priority.
+    pub array: bool,
+    /// Time of day at which it was accepted: the oldest first.
+    pub accepted: Micros,
+}
+
+impl EvacuationPriority {
+    /// `Less`: goes first.
+    pub fn order(&self, other: &EvacuationPriority) -> Ordering {
+        other
+            .value
+            .total_cmp(&self.value)
+            .then(other.service.cmp(&self.service))
+            .then(self.array.cmp(&other.array))
+            .then(self.accepted.cmp(&other.accepted))
+    }
+}
+
+/// A waiting job in the order of its team.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waiting<T> {
+    /// The job.
+    pub job: T,
+    /// Its priority if it was displaced.
+    pub displaced: Option<EvacuationPriority>,
+}
+
+/// Puts the displaced jobs of a team's order, most urgent first, into their stated order.
+///
+/// - Jobs that are not displaced keep their order.
+/// - Displaced jobs are among each other in the order of their priorities; where those are
+///   alike, in the order in which they came.
+/// - No job that is not displaced comes after a displaced one that is less urgent, so
+///   urgent work never waits behind evacuated lower work.
+/// - Beyond that, displaced jobs come as early as they can.
+pub fn merge_displaced<T>(ordered: Vec<Waiting<T>>) -> Vec<T> {
+    if ordered.iter().all(|w| w.displaced.is_none()) {
+        return ordered.into_iter().map(|w| w.job).collect();
+    }
+    let mut displaced: Vec<(usize, EvacuationPriority, T)> = Vec::new();
+    let mut others: Vec<(usize, T)> = Vec::new();
+    for (urgency, waiting) in ordered.into_iter().enumerate() {
+        match waiting.displaced {
+            Some(priority) => displaced.push((urgency, priority, waiting.job)),
+            None => others.push((urgency, waiting.job)),
+        }
+    }
+    displaced.sort_by(|a, b| a.1.order(&b.1).then(a.0.cmp(&b.0)));
+    let mut merged = Vec::with_capacity(displaced.len() + others.len());
+    let mut others = others.into_iter().peekable();
+    for (urgency, _, job) in displaced {
+        while let Some((_, more_urgent)) = others.next_if(|(other, _)| *other < urgency) {
+            merged.push(more_urgent);
+        }
+        merged.push(job);
+    }
+    merged.extend(others.map(|(_, job)| job));
+    merged
+}
+
+/// A silent machine of a lost zone that may be given up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SilentMachine {
+    /// The machine.
+    pub id: MachineId,
+    /// The highest priority among the jobs that may run on it; none: it has no work.
+    pub priority: Option<EvacuationPriority>,
+}
+
+/// A displaced job that asks for machines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DisplacedJob {
+    /// The job.
+    pub id: JobId,
+    /// Its place.
+    pub priority: EvacuationPriority,
+    /// Tasks of it that wait.
+    pub tasks: u32,
+}
+
+/// The evacuation of one loss of a zone, in one block.
+#[derive(Debug, Default)]
+struct Evacuation {
+    epoch: u64,
+    /// The newest wave that was seen.
+    wave: u64,
+    /// Machines that may still be given up.
+    machines: usize,
+    /// Displaced tasks that may still ask for machines.
+    tasks: u32,
+    given_up: BTreeSet<MachineId>,
+    admitted: BTreeSet<JobId>,
+}
+
+/// The waves of a block's holder.
+///
+/// Each wave that the leader commits allows so many machines to be given up and so many
+/// displaced tasks to ask for machines. A holder that has just taken the block over allows
+/// itself one wave, whatever number it finds: what was placed before does not wait any more,
+/// so it goes on where the one before stopped.
+#[derive(Debug, Default)]
+pub struct Waves {
+    settings: WaveSettings,
+    evacuations: BTreeMap<ZoneId, Evacuation>,
+}
+
+impl Waves {
+    /// No zone is lost.
+    pub fn new(settings: WaveSettings) -> Self {
+        Waves {
+            settings,
+            evacuations: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in which zones are lost now.
+    pub fn sync(&mut self, lost: &BTreeMap<ZoneId, ZoneRecord>) {
+        self.evacuations.retain(|id, e| {
+            // What belongs to an earlier loss is over.
+            lost.get(id).is_some_and(|zone| zone.epoch == e.epoch)
+        });
+        for (id, zone) in lost {
+            let new = Evacuation {
+                epoch: zone.epoch,
+                ..Evacuation::default()
+            };
+            let evacuation = self.evacuations.entry(id.clone()).or_insert(new);
+            if zone.wave > evacuation.wave {
+                evacuation.wave = zone.wave;
+                evacuation.machines = self.settings.machines;
+                evacuation.tasks = self.settings.tasks;
+            }
+        }
+    }
+
+    /// Which silent machines of a lost zone may be given up now: those of earlier waves
+    /// that are still there, and the most important ones up to this wave's number.
+    pub fn give_up(&mut self, zone: &ZoneId, mut silent: Vec<SilentMachine>) -> Vec<MachineId> {
+        let Some(evacuation) = self.evacuations.get_mut(zone) else {
+            return Vec::new();
+        };
+        silent.sort_by(|a, b| match (&a.priority, &b.priority) {
+            (Some(a), Some(b)) => a.order(b),
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (None, None) => Ordering::Equal,
+        });
+        let mut allowed = Vec::new();
+        for machine in silent {
+            let known = evacuation.given_up.contains(&machine.id);
+            if !known && evacuation.machines > 0 {
+                evacuation.machines -= 1;
+                evacuation.given_up.insert(machine.id.clone());
+            } else if !known {
+                continue;
+            }
+            allowed.push(machine.id);
+        }
+        allowed
+    }
+
+    /// Admits displaced jobs in their order, up to this wave's number of tasks. The last one
+    /// may go beyond it: a job is admitted whole.
+    pub fn admit(&mut self, zone: &ZoneId, mut jobs: Vec<DisplacedJob>) {
+        let Some(evacuation) = self.evacuations.get_mut(zone) else {
+            return;
+        };
+        jobs.retain(|job| !evacuation.admitted.contains(&job.id));
+        jobs.sort_by(|a, b| a.priority.order(&b.priority));
+        for job in jobs {
+            if evacuation.tasks == 0 {
+                return;
+            }
+            evacuation.tasks = evacuation.tasks.saturating_sub(job.tasks);
+            evacuation.admitted.insert(job.id);
+        }
+    }
+
+    /// Whether a displaced job of that zone may ask for machines: it is admitted, or the
+    /// evacuation is over.
+    pub fn is_admitted(&self, zone: &ZoneId, job: &JobId) -> bool {
+        self.evacuations
+            .get(zone)
+            .is_none_or(|e| e.admitted.contains(job))
+    }
+
+    /// Whether that zone is being evacuated.
+    pub fn is_evacuating(&self, zone: &ZoneId) -> bool {
+        self.evacuations.contains_key(zone)
+    }
+
+    /// Of these silent machines, how many wait for a further wave.
+    pub fn held_back(&self, zone: &ZoneId, silent: usize) -> usize {
+        let given_up = self.evacuations.get(zone).map_or(0, |e| e.given_up.len());
+        silent.saturating_sub(given_up)
+    }
+}
--- /dev/null
+++ b/crates/zone-failover/src/leader.rs
@@ -0,0 +1,398 @@
+//! The leader's part: it decides the state of every zone from the evidence of all
+//! controllers, and goes on from what an earlier leader committed.
+//!
+//! ```text
+//! handle(now, day, message) -> effects
+//! ```
+//!
+//! Nothing is relied on before it is committed, but for one thing: rentals avoid a zone as
+//! soon as it is suspect here, since a rental that is not made can do no harm.
+
+use crate::evidence::{EvidenceTable, ZoneEvidence};
+use crate::health::{Condition, Transition, ZoneHealth, ZoneObservation, ZoneState};
+use crate::record::{VERSION, ZoneRecord, ZonesRecord};
+use crate::settings::{DeclaredState, Settings};
+use rockdeal_types::clock::Micros;
+use rockdeal_types::ids::{Revision, ZoneId};
+use std::collections::BTreeMap;
+
+/// Between two looks at the evidence.
+const LOOK_EVERY: Micros = Micros::from_millis(500);
+/// A commit without an answer for so long is asked for again.
+const COMMIT_TIMEOUT: Micros = Micros::from_millis(6_000);
+/// After it begins to lead, a leader has not heard everybody yet.
+const LISTEN_FIRST: Micros = Micros::from_millis(2_000);
+
+/// A message to the core.
+#[derive(Debug, Clone)]
+pub enum Message {
+    /// This controller leads, under the leader key's revision, and this is the record that
+    /// it has read; none: there is none that counts.
+    Leading {
+        /// The revision of the leader's key.
+        leader: Revision,
+        /// The record, as far as it can be read.
+        record: Option<ZonesRecord>,
+    },
+    /// It does not lead any more.
+    Following,
+    /// What a controller sees of the zones.
+    Evidence(ZoneEvidence),
+    /// Time has passed.
+    Tick,
+    /// The answer to a commit.
+    Committed {
+        /// Whether it was carried out; false: surely not, and it is to be asked for again.
+        done: bool,
+    },
+}
+
+/// What the core wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Commit this record, conditional on the leader's key.
+    Commit(ZonesRecord),
+}
+
+#[derive(Debug, Default)]
+struct Zone {
+    health: ZoneHealth,
+    /// Since when it is in its state, by the time of day.
+    since: Micros,
+    wave: u64,
+    last_wave: Micros,
+    declared: bool,
+    /// When machines were last seen there, or a probe was allowed.
+    last_seen: Micros,
+}
+
+#[derive(Debug)]
+struct Leadership {
+    leader: Revision,
+    since: Micros,
+}
+
+/// What is known of the record in the store.
+#[derive(Debug, PartialEq)]
+enum Stored {
+    /// There is none that counts.
+    Nothing,
+    /// It may be any: an earlier leader's, or one whose commit had no answer.
+    Unknown,
+    /// This one.
+    Record(ZonesRecord),
+}
+
+/// How new machines of a zone may be rented.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RentalAccess {
+    /// As in any zone.
+    Open,
+    /// None.
+    Closed,
+    /// One machine, to see whether the zone is back: nothing of it is left that would tell.
+    Probe,
+}
+
+/// The zones under one leadership.
+#[derive(Debug)]
+pub struct ZoneLeader {
+    settings: Settings,
+    evidence: EvidenceTable,
+    zones: BTreeMap<ZoneId, Zone>,
+    leadership: Option<Leadership>,
+    last_look: Micros,
+    stored: Stored,
+    /// The commit that is out, and since when.
+    commit_out: Option<(Micros, ZonesRecord)>,
+}
+
+impl ZoneLeader {
+    /// The zones of a site, all healthy.
+    pub fn new(settings: Settings, zones: impl IntoIterator<Item = ZoneId>) -> Self {
+        let zones = zones.into_iter().map(|zone| (zone, Zone::default()));
+        ZoneLeader {
+            settings,
+            evidence: EvidenceTable::default(),
+            zones: zones.collect(),
+            leadership: None,
+            last_look: Micros::ZERO,
+            stored: Stored::Nothing,
+            commit_out: None,
+        }
+    }
+
+    /// Takes one message in. `now` is the steady clock, `day` the time of day.
+    pub fn handle(&mut self, now: Micros, day: Micros, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Leading { leader, record } => self.lead(now, day, leader, record),
+            Message::Following => self.leadership = None,
+            Message::Evidence(evidence) => self.evidence.receive(now, evidence),
+            Message::Tick => return self.tick(now, day),
+            Message::Committed { done } => {
+                self.stored = match self.commit_out.take() {
+                    Some((_, record)) if done => Stored::Record(record),
+                    _ => Stored::Unknown,
+                };
+            }
+        }
+        Vec::new()
+    }
+
+    /// Whether this controller leads here under that key.
+    pub fn leads(&self, leader: Revision) -> bool {
+        self.leadership.as_ref().is_some_and(|l| l.leader == leader)
+    }
+
+    /// Messages that were dropped as late or repeated copies.
+    pub fn outdated_evidence(&self) -> u64 {
+        self.evidence.outdated()
+    }
+
+    /// A new leadership goes on from the committed record.
+    fn lead(&mut self, now: Micros, day: Micros, leader: Revision, record: Option<ZonesRecord>) {
+        if self.leads(leader) {
+            return;
+        }
+        self.leadership = Some(Leadership { leader, since: now });
+        self.last_look = now;
+        self.commit_out = None;
+        for zone in self.zones.values_mut() {
+            *zone = Zone {
+                last_seen: now,
+                ..Zone::default()
+            };
+        }
+        let recorded = record.iter().flat_map(|r| &r.zones);
+        for (id, recorded) in recorded {
+            // Zones that this site does not have any more are left out.
+            if let Some(zone) = self.zones.get_mut(id) {
+                *zone = resume(now, day, recorded);
+                tracing::info!(zone = %id, state = ?recorded.state, epoch = recorded.epoch, wave = recorded.wave, "zone: goes on from the record");
+            }
+        }
+        // Committed anew, so that followers know that this leader stands by it.
+        self.stored = match record {
+            Some(_) => Stored::Unknown,
+            None => Stored::Nothing,
+        };
+    }
+
+    fn tick(&mut self, now: Micros, day: Micros) -> Vec<Effect> {
+        let Some(leadership) = &self.leadership else {
+            return Vec::new();
+        };
+        let since = leadership.since;
+        let elapsed = now.since(self.last_look);
+        if elapsed < LOOK_EVERY {
+            return Vec::new();
+        }
+        self.last_look = now;
+        if now.since(since) >= LISTEN_FIRST {
+            self.look(now, day, elapsed);
+        }
+        self.apply_declarations(now, day);
+        self.commit(now).into_iter().collect()
+    }
+
+    fn look(&mut self, now: Micros, day: Micros, elapsed: Micros) {
+        let seen = self.evidence.observe(now);
+        let conditions = self.conditions(&seen);
+        let ids: Vec<ZoneId> = self.zones.keys().cloned().collect();
+        for id in ids {
+            let condition = conditions.get(&id).copied().unwrap_or(Condition::Unknown);
+            let may_be_lost = self.another_is_healthy(&id, &conditions);
+            let observation = seen.get(&id).copied().unwrap_or_default();
+            let Some(zone) = self.zones.get_mut(&id) else {
+                continue;
+            };
+            if observation.machines > 0 {
+                zone.last_seen = now;
+            }
+            if !zone.declared {
+                let health = &self.settings.health;
+                let transition = zone.health.observe(elapsed, condition, may_be_lost, health);
+                if let Some(transition) = transition {
+                    zone.entered(now, day);
+                    log_transition(&id, zone, transition, observation, health);
+                }
+            }
+            let evacuating = zone.health.state() == ZoneState::Lost;
+            let due = now.since(zone.last_wave) >= self.settings.waves.interval;
+            // No wave begins where nothing waits for one, nor without a place to go.
+            if evacuating && due && observation.waiting > 0 && may_be_lost {
+                zone.wave += 1;
+                zone.last_wave = now;
+                tracing::info!(zone = %id, epoch = zone.health.epoch(), wave = zone.wave, waiting = observation.waiting, "zone: next wave");
+            }
+        }
+    }
+
+    fn conditions(&self, seen: &BTreeMap<ZoneId, ZoneObservation>) -> BTreeMap<ZoneId, Condition> {
+        let health = &self.settings.health;
+        let conditions: BTreeMap<ZoneId, Condition> = seen
+            .iter()
+            .map(|(id, observation)| (id.clone(), observation.condition(health)))
+            .collect();
+        let known = conditions.values().filter(|c| **c != Condition::Unknown);
+        if known.clone().count() > 1 && known.clone().all(|c| *c == Condition::Down) {
+            // Guards against evacuating everything: that all zones are lost at once can't be
+            // told from a fault of the observers, and there is nowhere to go.
+            return BTreeMap::new();
+        }
+        conditions
+    }
+
+    /// Whether some other zone could take the work: one that is healthy and not down now.
+    fn another_is_healthy(&self, id: &ZoneId, conditions: &BTreeMap<ZoneId, Condition>) -> bool {
+        self.zones.iter().any(|(other, zone)| {
+            other != id
+                && zone.health.state() == ZoneState::Healthy
+                && conditions.get(other) != Some(&Condition::Down)
+        })
+    }
+
+    /// What operators declare in the file wins over the evidence.
+    fn apply_declarations(&mut self, now: Micros, day: Micros) {
+        for (id, zone) in &mut self.zones {
+            let declared = self.settings.declared.get(id);
+            let state = match declared {
+                Some(DeclaredState::Out) => ZoneState::Lost,
+                Some(DeclaredState::In) => ZoneState::Healthy,
+                None => {
+                    zone.declared = false;
+                    continue;
+                }
+            };
+            zone.declared = true;
+            if let Some(transition) = zone.health.declare(state) {
+                zone.entered(now, day);
+                tracing::info!(zone = %id, from = ?transition.from, to = ?transition.to, epoch = zone.health.epoch(), "zone: declared by an operator");
+            }
+        }
+    }
+
+    /// Commits the states if they differ from what was last committed.
+    fn commit(&mut self, now: Micros) -> Option<Effect> {
+        let leader = self.leadership.as_ref()?.leader;
+        if let Some((since, _)) = &self.commit_out {
+            if now.since(*since) < COMMIT_TIMEOUT {
+                return None;
+            }
+            // Guards against a state that followers never hear of: the commit may be lost.
+            self.commit_out = None;
+            self.stored = Stored::Unknown;
+        }
+        let record = ZonesRecord {
+            version: VERSION,
+            leader,
+            zones: self
+                .zones
+                .iter()
+                .filter(|(_, zone)| !zone.is_untouched())
+                .map(|(id, zone)| (id.clone(), zone.record()))
+                .collect(),
+        };
+        let is_stored = match &self.stored {
+            Stored::Nothing => record.zones.is_empty(),
+            Stored::Unknown => false,
+            Stored::Record(stored) => *stored == record,
+        };
+        if is_stored {
+            return None;
+        }
+        self.commit_out = Some((now, record.clone()));
+        Some(Effect::Commit(record))
+    }
+
+    /// Whether machines may be rented in a zone now.
+    pub fn rental_access(&self, now: Micros, id: &ZoneId) -> RentalAccess {
+        let Some(zone) = self.zones.get(id).filter(|_| self.leadership.is_some()) else {
+            return RentalAccess::Open;
+        };
+        match zone.health.state() {
+            ZoneState::Healthy => RentalAccess::Open,
+            ZoneState::Lost if !zone.declared => {
+                let unseen = now.since(zone.last_seen);
+                if unseen >= self.settings.health.probe_after {
+                    RentalAccess::Probe
+                } else {
+                    RentalAccess::Closed
+                }
+            }
+            ZoneState::Suspect | ZoneState::Lost | ZoneState::Probation => RentalAccess::Closed,
+        }
+    }
+
+    /// A probe was rented in a zone: the next one only after a while.
+    pub fn probed(&mut self, now: Micros, id: &ZoneId) {
+        if let Some(zone) = self.zones.get_mut(id) {
+            zone.last_seen = now;
+        }
+    }
+
+    /// The state of a zone, as it is decided here.
+    pub fn state(&self, id: &ZoneId) -> ZoneState {
+        self.zones
+            .get(id)
+            .map_or(ZoneState::Healthy, |zone| zone.health.state())
+    }
+}
+
+impl Zone {
+    fn entered(&mut self, now: Micros, day: Micros) {
+        self.since = day;
+        // The first wave of a loss begins with it.
+        self.wave = u64::from(self.health.state() == ZoneState::Lost);
+        self.last_wave = now;
+    }
+
+    fn is_untouched(&self) -> bool {
+        self.health == ZoneHealth::default() || self.is_plainly_healthy()
+    }
+
+    /// Healthy, with no loss that still counts and none that a record must remember.
+    fn is_plainly_healthy(&self) -> bool {
+        self.health.state() == ZoneState::Healthy && self.health.epoch() == 0 && !self.declared
+    }
+
+    fn record(&self) -> ZoneRecord {
+        ZoneRecord {
+            state: self.health.state(),
+            epoch: self.health.epoch(),
+            since: self.since,
+            relapses: self.health.relapses(),
+            wave: self.wave,
+            declared: self.declared,
+        }
+    }
+}
+
+fn resume(now: Micros, day: Micros, recorded: &ZoneRecord) -> Zone {
+    // Guards against a probation that each change of leader begins anew, so that it never ends.
+    let on_probation = recorded.state == ZoneState::Probation;
+    let calm = if on_probation {
+        day.since(recorded.since)
+    } else {
+        Micros::ZERO
+    };
+    Zone {
+        health: ZoneHealth::resume(recorded.state, recorded.epoch, recorded.relapses, calm),
+        since: recorded.since,
+        wave: recorded.wave,
+        last_wave: now,
+        declared: recorded.declared,
+        last_seen: now,
+    }
+}
+
+fn log_transition(
+    id: &ZoneId,
+    zone: &Zone,
+    transition: Transition,
+    seen: ZoneObservation,
+    health: &crate::settings::HealthSettings,
+) {
+    let probation_s = zone.health.probation(health).as_secs();
+    tracing::info!(zone = %id, from = ?transition.from, to = ?transition.to, epoch = zone.health.epoch(), relapses = zone.health.relapses(), probation_s, machines = seen.machines, silent = seen.silent, peers = seen.peers, silent_peers = seen.silent_peers, "zone: state changed");
+}
--- /dev/null
+++ b/crates/zone-failover/src/lib.rs
@@ -0,0 +1,28 @@
+//! Zone failover: which zones are lost, in which order their work is moved elsewhere, and
+//! how it is brought home.
+//!
+//! The package has no socket, no store and reads no clock. Controllers feed its cores with
+//! evidence, records and the time, and carry out what comes back:
+//!
+//! - [`evidence`] collects what every controller sees of each zone;
+//! - [`health`] turns that into a state with hysteresis and flap damping;
+//! - [`leader`] keeps the states of all zones under one leadership and says when to commit
+//!   their [`record`];
+//! - [`view`] is what a controller may rely on of the committed record;
+//! - [`evacuation`] orders displaced work and admits it in waves;
+//! - [`homecoming`] chooses running work to move home, inside a [`window`] of time.
+//!
+//! Nothing here decides that a task is over. That stays with leases, fencing tokens and the
+//! stored ends: a wrong opinion about a zone costs time, and never runs a task twice.
+
+#![warn(missing_docs)]
+
+pub mod evacuation;
+pub mod evidence;
+pub mod health;
+pub mod homecoming;
+pub mod leader;
+pub mod record;
+pub mod settings;
+pub mod view;
+pub mod window;
--- /dev/null
+++ b/crates/zone-failover/tests/settings.rs
@@ -0,0 +1,178 @@
+//! Bad input is refused with its place and a remedy; windows follow the clocks of their zone.
+
+use jiff::civil::{Time, Weekday, date};
+use jiff::tz::TimeZoneDatabase;
+use rockdeal_types::clock::Micros;
+use zone_failover::settings::{DeclaredState, RawSettings, Site};
+use zone_failover::window::ReturnWindow;
+
+fn check(text: &str) -> Result<Option<zone_failover::settings::Settings>, String> {
+    let site = Site {
+        zones: vec!["glenorchy-pump".into(), "huonville-yard".into()],
+        classes: vec!["gauge-alerts".into()],
+    };
+    let raw: RawSettings = toml::from_str(text).map_err(|e| e.message().to_owned())?;
+    raw.check(&site)
+        .map_err(|e| format!("{}: {e}", &text[e.span.clone()]))
+}
+
+#[test]
+fn what_is_not_set_keeps_its_default_and_off_is_the_default() {
+    assert_eq!(check(""), Ok(None));
+    let on = check("enabled = true").expect("fine").expect("on");
+    assert_eq!(on, zone_failover::settings::Settings::default());
+    let text = "enabled = true\nservices = [\"gauge-alerts\"]\n[health]\nlost-after = \"1m 30s\"\n\
+                [[declared]]\nzone = \"huonville-yard\"\nstate = \"out\"";
+    let on = check(text).expect("fine").expect("on");
+    assert_eq!(on.health.lost_after, Micros::from_millis(90_000));
+    assert_eq!(on.declared["huonville-yard"], DeclaredState::Out);
+}
+
+#[test]
+fn what_is_wrong_is_refused_even_where_the_subsystem_is_off() {
+    let cases = [
+        ("enable = true", "unknown field `enable`"),
+        ("[health]\nlost-after = 5", "invalid type: integer"),
+        (
+            "[health]\nlost-after = \"5 parsecs\"",
+            "write a number with its unit",
+        ),
+        ("[health]\nlost-after = \"-5s\"", "is negative"),
+        (
+            "[health]\nlost-after = \"900h\"",
+            "\"900h\": lost-after is 3240000 s; choose from 1 s to 3600 s",
+        ),
+        (
+            "[health]\nlost-after = \"1s\"\nsuspect-after = \"2s\"",
+            "not above suspect-after",
+        ),
+        (
+            "[health]\nprobation = \"20m\"",
+            "most-probation (300 s) is below probation (1200 s)",
+        ),
+        (
+            "[health]\nlost-share = 1.5",
+            "1.5: lost-share is 1.5; choose from 0.5 to 1",
+        ),
+        ("[health]\nlost-share = nan", "lost-share is NaN"),
+        (
+            "[health]\nup-share = 0.5\nlost-share = 0.5",
+            "up-share is not below lost-share",
+        ),
+        ("[health]\nleast-machines = -1", "invalid value"),
+        ("[health]\npatience = \"2m\"", "choose from 0 s to 60 s"),
+        ("[waves]\nmachines = 0", "choose from 1 to 10000"),
+        (
+            "services = [\"gauge-alert\"]",
+            "class \"gauge-alert\" is in no objective; did you mean gauge-alerts?",
+        ),
+        (
+            "[[declared]]\nzone = \"huonville\"\nstate = \"out\"",
+            "did you mean huonville-yard?",
+        ),
+        (
+            "[[declared]]\nzone = \"huonville-yard\"\nstate = \"gone\"",
+            "unknown variant `gone`",
+        ),
+        (
+            "declared = [{zone = \"huonville-yard\", state = \"in\"}, {zone = \"huonville-yard\", state = \"out\"}]",
+            "is declared twice",
+        ),
+        (
+            "declared = [{zone = \"huonville-yard\", state = \"out\"}, {zone = \"glenorchy-pump\", state = \"out\"}]",
+            "every zone is declared out",
+        ),
+    ];
+    for (text, expected) in cases {
+        let refused = check(text).expect_err(text);
+        assert!(refused.contains(expected), "{text}: {refused}");
+    }
+    let windows = [
+        (
+            "time-zone = \"Tasmania\", from = \"22:00\", to = \"05:00\"",
+            "time zone \"Tasmania\" is unknown",
+        ),
+        (
+            "time-zone = \"Australia/Hobart\", from = \"22:00\", to = \"22:00\"",
+            "never open",
+        ),
+        (
+            "time-zone = \"Australia/Hobart\", from = \"22:00\", to = \"05:00\", days = []",
+            "never open",
+        ),
+        (
+            "time-zone = \"Australia/Hobart\", from = \"25:00\", to = \"05:00\"",
+            "write it as \"22:30\"",
+        ),
+        (
+            "time-zone = \"Australia/Hobart\", from = \"22:00\", to = \"05:00\", days = [\"mondays\"]",
+            "did you mean monday?",
+        ),
+    ];
+    for (window, expected) in windows {
+        let text = format!("[return]\nwindow = [{{{window}}}]");
+        let refused = check(&text).expect_err(window);
+        assert!(refused.contains(expected), "{window}: {refused}");
+    }
+}
+
+/// The time of day at a local time; `later`: the second of two that the clocks show.
+fn at(zone: &str, local: jiff::civil::DateTime, later: bool) -> Micros {
+    let time_zone = TimeZoneDatabase::bundled().get(zone).expect("a zone");
+    let ambiguous = time_zone.to_ambiguous_timestamp(local);
+    let resolved = if later {
+        ambiguous.later()
+    } else {
+        ambiguous.earlier()
+    };
+    Micros(resolved.expect("a time").as_microsecond() as u64)
+}
+
+fn window(zone: &str, days: Vec<Weekday>, from: &str, to: &str) -> ReturnWindow {
+    let time = |t| Time::strptime("%H:%M", t).expect("a time");
+    ReturnWindow::new(zone, days, time(from), time(to)).expect("a window")
+}
+
+const HOBART: &str = "Australia/Hobart";
+
+#[test]
+fn a_window_over_midnight_belongs_to_the_day_on_which_it_begins() {
+    let w = window(HOBART, vec![Weekday::Monday], "22:00", "05:00");
+    let open = |day, hour, minute| {
+        let local = date(2026, 12, day).at(hour, minute, 0, 0);
+        w.is_open(at(HOBART, local, false))
+    };
+    // The 7th is a Monday.
+    assert!(!open(7, 21, 59) && open(7, 22, 0) && open(8, 4, 59) && !open(8, 5, 0));
+    assert!(!open(7, 4, 0) && !open(8, 23, 0));
+}
+
+#[test]
+fn an_hour_that_is_missing_is_skipped() {
+    // On 4 October 2026 Hobart's clocks go from 2:00 to 3:00.
+    let local = |hour, minute| at(HOBART, date(2026, 10, 4).at(hour, minute, 0, 0), false);
+    let begins = window(HOBART, vec![Weekday::Sunday], "02:30", "04:00");
+    assert!(
+        !begins.is_open(local(1, 59))
+            && begins.is_open(local(3, 0))
+            && !begins.is_open(local(4, 0))
+    );
+    let ends = window(HOBART, vec![Weekday::Sunday], "01:00", "02:30");
+    assert!(ends.is_open(local(1, 59)) && !ends.is_open(local(3, 0)));
+    let inside = window(HOBART, vec![Weekday::Sunday], "02:10", "02:50");
+    assert!(
+        (0..300).all(|minute| !inside.is_open(local(0, 0) + Micros::from_millis(60_000 * minute)))
+    );
+}
+
+#[test]
+fn an_hour_that_comes_twice_counts_whole() {
+    // On 5 April 2026 Hobart's clocks go from 3:00 back to 2:00.
+    let local = |hour, minute, later| at(HOBART, date(2026, 4, 5).at(hour, minute, 0, 0), later);
+    let begins = window(HOBART, vec![Weekday::Sunday], "02:30", "04:00");
+    assert!(!begins.is_open(local(2, 29, false)) && begins.is_open(local(2, 30, false)));
+    assert!(begins.is_open(local(2, 10, true)), "open all along");
+    let ends = window(HOBART, vec![Weekday::Sunday], "01:00", "02:30");
+    assert!(ends.is_open(local(2, 50, false)) && ends.is_open(local(2, 29, true)));
+    assert!(!ends.is_open(local(2, 30, true)));
+}
--- a/src/blocks/holder/health.rs
+++ b/src/blocks/holder/health.rs
@@ -80,10 +80,13 @@
         let most = 2 + self.machines.len() / 10;
         // And if so many do not hear us, it is we who are not heard.
         let suspects = self.machines.values().filter(|m| m.suspect()).count() <= most;
-        let dead = self
-            .machines
-            .iter()
-            .filter(|(_, m)| silent(m) || unheard(m) || suspects && m.suspect() || failed(m));
+        let withheld = |id: &MachineId, m: &Machine| {
+            let duties = self.zones.as_ref();
+            duties.is_some_and(|duties| duties.withholds(now, id, &m.zone))
+        };
+        let dead = self.machines.iter().filter(|(id, m)| {
+            (silent(m) || unheard(m)) && !withheld(id, m) || suspects && m.suspect() || failed(m)
+        });
         dead.map(|(id, _)| id.clone()).take(most).collect()
     }
 }
--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -7,6 +7,9 @@
 mod reports;
 mod starts;
 mod sync;
+mod zones;
+
+pub use zones::MachineCounts;
 
 use super::{Freed, HolderRecord, MachinesRecord};
 use crate::clock::Micros;
@@ -24,6 +27,7 @@
 use crate::store::mirror::Mirror;
 use crate::store::{Cond, Op};
 use crate::workers::{AttemptKey, Direct, Leaving, Machine, Phase};
+use crate::zones::ZoneDuties;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -134,6 +138,11 @@
     last_open: Micros,
     /// Machines that were compared with a class, for counting what passes cost.
     pub machines_compared: usize,
+    /// The machine types, for their prices.
+    types: Rc<[MachineType]>,
+    /// None: zone failover is off.
+    zones: Option<ZoneDuties>,
+    last_move_home: Micros,
 }
 
 /// A job that is not known here, although a machine has an attempt of it.
@@ -217,6 +226,9 @@
             last_give_up: Micros::ZERO,
             last_open: Micros::ZERO,
             machines_compared: 0,
+            types: Rc::new([]),
+            zones: None,
+            last_move_home: now,
         }
     }
 
@@ -291,6 +303,7 @@
                 .map(|job| (job.team, job.failing()))
                 .collect(),
             heard_within: self.heard_within(),
+            zones: self.zones.as_ref(),
         }
     }
 
@@ -304,6 +317,7 @@
         if now.since(self.last_look) >= LOOK {
             self.last_look = now;
             self.look(now);
+            self.look_at_zones(now, day, fleet);
         }
         if std::mem::take(&mut self.settled) {
             self.count_unconfirmed(now);
@@ -324,11 +338,14 @@
         self.failing
             .retain(|id| jobs.get(id).is_some_and(Job::fails));
         let (mut over, mut ended) = (Vec::new(), Vec::new());
+        let mut displaced: Vec<(JobId, String)> = Vec::new();
         for (id, m) in &mut self.machines {
             let busy = m.unconfirmed || m.attempts.values().any(|t| t.phase != Phase::Exited);
             if busy && now.since(m.lease_from()) > over_after {
                 tracing::info!(block = %self.block, machine = %id, "worker's lease is over");
-                ended.extend(m.over().into_iter().map(|k| (k, id.clone())));
+                let keys = m.over();
+                displaced.extend(keys.iter().map(|k| (k.0.job.clone(), m.zone.clone())));
+                ended.extend(keys.into_iter().map(|k| (k, id.clone())));
                 over.push(id.clone());
             }
             let since = m.last_heard.map_or(Micros::ZERO, |h| now.since(h));
@@ -366,6 +383,9 @@
         for (key, id) in ended {
             self.requeue(&key, &id);
         }
+        for (job, zone) in displaced {
+            self.displace(&job, &zone);
+        }
         self.count_unconfirmed(now);
         // Back-off ends, slack shrinks, and machines change without any message.
         self.pass_pending |= self.jobs.values().any(Job::wants_machines);
@@ -378,6 +398,7 @@
             .machines
             .values()
             .filter(|m| m.last_heard.is_none() && m.leaving == Leaving::No && !m.draining)
+            .filter(|m| !self.is_in_lost_zone(m))
         {
             let alike = |c: &&mut ComingMachines<'_>| {
                 c.build == m.build && c.zone == m.zone && c.spot == m.spot
--- a/src/blocks/holder/sync.rs
+++ b/src/blocks/holder/sync.rs
@@ -12,6 +12,7 @@
     pub fn take_over(&mut self, now: Micros, mirror: &Mirror, types: &[MachineType]) {
         // For telling which work has a choice of machines.
         self.constrained = ConstrainedDemand::new(types);
+        self.types = types.into();
         let shards: Vec<u32> = mirror.shards(self.block).map(|(n, ..)| n).collect();
         for n in shards {
             self.sync_shard(now, n, mirror, types, true);
@@ -72,7 +73,9 @@
                 self.weights.remove(&m.load, m.capacity);
                 let keys = m.over();
                 tracing::info!(block = %self.block, machine = %id, lost = keys.len(), "machine left the block");
+                self.displace_unconfirmed(&m);
                 for key in keys {
+                    self.displace(&key.0.job, &m.zone);
                     self.requeue(&key, &id);
                 }
             }
--- /dev/null
+++ b/src/blocks/holder/zones.rs
@@ -0,0 +1,374 @@
+//! Zones in a holder's block: what it sees of them, giving up silent machines of lost ones
+//! in waves, and moving running work home.
+
+use super::Holder;
+use crate::clock::Micros;
+use crate::fairness::Resources;
+use crate::fleet::MachineType;
+use crate::ids::{JobId, MachineId, ZoneId};
+use crate::jobs::{Job, JobDesc};
+use crate::placement;
+use crate::workers::{Attempt, AttemptKey, Leaving, Machine, Phase, Reserved};
+use crate::zones::{ZoneDuties, ZoneFailoverConfig, ZoneSituation};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use zone_failover::evacuation::{EvacuationPriority, SilentMachine};
+use zone_failover::health::ZoneState;
+use zone_failover::homecoming::{self, EvacuatedTask};
+
+/// Reports come within a quarter of their interval; a machine that has missed one, and the
+/// time that a report takes, is silent.
+const SILENT_REPORTS: f64 = 1.6;
+/// Shorter than this may be a busy moment.
+const LEAST_SILENCE: Micros = Micros::from_millis(3_000);
+/// A machine that has not reported since a take-over has to find its way here first.
+const LEAST_SILENCE_AFTER_TAKE_OVER: Micros = Micros::from_millis(6_000);
+/// Between two looks at running work that may be moved home.
+const MOVE_EVERY: Micros = Micros::from_millis(5_000);
+/// Room at home is kept so long for a task that is stopped elsewhere.
+const HOME_KEPT: Micros = Micros::from_millis(20_000);
+/// Stopping and starting once more costs so much besides saving and fetching the image.
+const RESTART_S: f64 = 2.0;
+
+/// What a holder sees of a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct MachineCounts {
+    /// Machines that have been up.
+    pub machines: u32,
+    /// Those of them that are silent.
+    pub silent: u32,
+    /// What waits for a further wave of evacuation.
+    pub waiting: u32,
+}
+
+/// A task that could go home, and where to.
+struct Homeward {
+    task: EvacuatedTask<(MachineId, AttemptKey)>,
+    home: MachineId,
+}
+
+impl Holder {
+    /// Turns zone failover on, and tells how the zones stand.
+    pub fn set_zones(
+        &mut self,
+        now: Micros,
+        config: &Rc<ZoneFailoverConfig>,
+        situation: &Rc<ZoneSituation>,
+    ) {
+        let duties = self
+            .zones
+            .get_or_insert_with(|| ZoneDuties::new(config.clone(), situation.clone()));
+        if !Rc::ptr_eq(&duties.situation, situation) {
+            // Zones open and close for work that waits.
+            self.pass_pending = true;
+        }
+        duties.sync(now, situation);
+    }
+
+    /// Whether a machine's zone is lost: what boots there may not come up.
+    pub(super) fn is_in_lost_zone(&self, m: &Machine) -> bool {
+        let state = |duties: &ZoneDuties| duties.situation.state(&m.zone);
+        self.zones.as_ref().map(state) == Some(ZoneState::Lost)
+    }
+
+    fn is_silent(&self, now: Micros, m: &Machine) -> bool {
+        let least = self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE);
+        match m.last_heard {
+            Some(heard) => now.since(heard.max(self.listening).max(m.added)) > least,
+            None => {
+                let least = least.max(LEAST_SILENCE_AFTER_TAKE_OVER);
+                m.unconfirmed && now.since(m.added.max(self.listening)) > least
+            }
+        }
+    }
+
+    /// Whether silence says something about machines: not if it may be our own.
+    fn can_tell_of_zones(&self, now: Micros) -> bool {
+        let least = self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE);
+        let listens = now.since(self.listening.max(self.granted)) > least;
+        let hears = now.since(self.last_report) < LEAST_SILENCE;
+        listens && (hears || self.machines.is_empty())
+    }
+
+    /// What is seen of the zones; nothing if it may be this controller that is cut off.
+    pub fn zone_counts(&self, now: Micros) -> BTreeMap<ZoneId, MachineCounts> {
+        let mut counts: BTreeMap<ZoneId, MachineCounts> = BTreeMap::new();
+        if !self.can_tell_of_zones(now) {
+            return counts;
+        }
+        for m in self.machines.values() {
+            let has_been_up = m.last_heard.is_some() || m.unconfirmed;
+            if has_been_up && m.leaving == Leaving::No {
+                let of_zone = counts.entry(m.zone.as_str().into()).or_default();
+                of_zone.machines += 1;
+                of_zone.silent += u32::from(self.is_silent(now, m));
+            }
+        }
+        if let Some(duties) = &self.zones {
+            for zone in duties.situation.lost().into_keys() {
+                let of_zone = counts.entry(zone.clone()).or_default();
+                of_zone.waiting = duties.held_back(&zone, of_zone.silent as usize, &self.jobs);
+            }
+        }
+        counts
+    }
+
+    /// An attempt of a job was lost with a machine.
+    pub(super) fn displace(&mut self, job: &JobId, zone: &str) {
+        if let Some(duties) = &mut self.zones {
+            duties.displace(job, zone);
+        }
+    }
+
+    /// A machine left of which nothing was known since a take-over: any job that an earlier
+    /// holder may have started there may have lost an attempt.
+    pub(super) fn displace_unconfirmed(&mut self, m: &Machine) {
+        let Some(duties) = &mut self.zones else {
+            return;
+        };
+        if !m.unconfirmed {
+            return;
+        }
+        for (id, job) in &self.jobs {
+            let may_have_been_there = job.may_have_begun_before(self.term, self.revision)
+                && job.may_have_been_on(&m.build, &m.zone, m.spot);
+            if may_have_been_there {
+                duties.displace(id, &m.zone);
+            }
+        }
+    }
+
+    /// What time and the leader's waves change.
+    pub(super) fn look_at_zones(&mut self, now: Micros, day: Micros, fleet: Resources) {
+        if self.zones.is_none() {
+            return;
+        }
+        let silent = self.silent_of_lost(now, day);
+        if let Some(duties) = &mut self.zones {
+            duties.forget(now, &self.jobs);
+            duties.advance(day, silent, &self.jobs);
+        }
+        if now.since(self.last_move_home) >= MOVE_EVERY {
+            self.last_move_home = now;
+            self.move_home(now, day, fleet);
+        }
+    }
+
+    /// The silent machines of lost zones, with the priority of what may run on them.
+    fn silent_of_lost(&self, now: Micros, day: Micros) -> BTreeMap<ZoneId, Vec<SilentMachine>> {
+        let mut silent: BTreeMap<ZoneId, Vec<SilentMachine>> = BTreeMap::new();
+        let Some(duties) = &self.zones else {
+            return silent;
+        };
+        let lost = duties.situation.lost();
+        if lost.is_empty() {
+            return silent;
+        }
+        let priority = |job: &Job| duties.config.order.priority(job, day);
+        let old = |job: &&Job| job.may_have_begun_before(self.term, self.revision);
+        let of_old = first(self.jobs.values().filter(old).map(priority));
+        for (id, m) in &self.machines {
+            let Some((zone, _)) = lost.get_key_value(m.zone.as_str()) else {
+                continue;
+            };
+            if m.leaving != Leaving::No || !self.is_silent(now, m) {
+                continue;
+            }
+            let on_it = m.attempts.keys().filter_map(|(t, _)| self.jobs.get(&t.job));
+            let highest = if m.unconfirmed {
+                of_old
+            } else {
+                first(on_it.map(priority))
+            };
+            let machine = SilentMachine {
+                id: id.clone(),
+                priority: highest,
+            };
+            silent.entry(zone.clone()).or_default().push(machine);
+        }
+        silent
+    }
+
+    /// Stops running tasks elsewhere for which there is room in their zone again.
+    fn move_home(&mut self, now: Micros, day: Micros, fleet: Resources) {
+        let Some(duties) = &self.zones else {
+            return;
+        };
+        let settings = &duties.config.settings.homecoming;
+        if !settings.move_running || self.resigns() || !settings.is_open(day) {
+            return;
+        }
+        let period = settings.period;
+        let recent = |since: Micros| day.since(since) < period;
+        let back: Vec<ZoneId> = duties
+            .situation
+            .returned
+            .iter()
+            .filter(|(_, zone)| recent(zone.since))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let homeward = self.homeward(now, day, fleet, &back);
+        let homes: BTreeMap<AttemptKey, MachineId> = homeward
+            .iter()
+            .map(|h| (h.task.key.1.clone(), h.home.clone()))
+            .collect();
+        let tasks = homeward.into_iter().map(|h| h.task).collect();
+        let chosen = homecoming::choose(tasks, &duties.moving(), settings);
+        for (from, task) in chosen {
+            if let Some(home) = homes.get(&task) {
+                self.move_task(now, &from, &task, home);
+            }
+        }
+    }
+
+    /// Evacuated tasks for which there is room at home, each with a machine of its own share
+    /// of that room.
+    fn homeward(
+        &self,
+        now: Micros,
+        day: Micros,
+        fleet: Resources,
+        back: &[ZoneId],
+    ) -> Vec<Homeward> {
+        let Some(duties) = &self.zones else {
+            return Vec::new();
+        };
+        let scene = self.scene(now, day, fleet);
+        let mut room: BTreeMap<&MachineId, Resources> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| back.iter().any(|zone| zone.as_str() == m.zone))
+            .filter(|(_, m)| placement::usable(m, now, scene.heard_within))
+            .map(|(id, m)| (id, m.capacity - m.load.summed - reserved(m, now)))
+            .collect();
+        let mut homeward = Vec::new();
+        for (from, m) in &self.machines {
+            for (key, attempt) in &m.attempts {
+                let of_zone = duties.displaced_from(&key.0.job);
+                let Some(zone) = of_zone.filter(|z| back.contains(z)) else {
+                    continue;
+                };
+                let is_home = m.zone == zone.as_str();
+                let Some(job) = self.jobs.get(&key.0.job).filter(|_| !is_home) else {
+                    continue;
+                };
+                if !may_be_moved(job, attempt) {
+                    continue;
+                }
+                let Some((task, home)) = self.way_home(now, key, (from, m), job, &room) else {
+                    continue;
+                };
+                if let Some(free) = room.get_mut(&home) {
+                    *free -= job.desc.request();
+                }
+                homeward.push(Homeward { task, home });
+            }
+        }
+        homeward
+    }
+
+    /// Where a task could go home to, and what that gains and costs.
+    fn way_home(
+        &self,
+        now: Micros,
+        key: &AttemptKey,
+        (from, at): (&MachineId, &Machine),
+        job: &Job,
+        room: &BTreeMap<&MachineId, Resources>,
+    ) -> Option<(EvacuatedTask<(MachineId, AttemptKey)>, MachineId)> {
+        let desc = &job.desc;
+        let fits = |id: &MachineId, free: &Resources| {
+            let allowed = |m: &Machine| desc.allows(&m.build, &m.zone, m.spot);
+            desc.request().fits_in(free) && self.machines.get(id).is_some_and(allowed)
+        };
+        let (home, _) = room.iter().find(|(id, free)| fits(id, free))?;
+        let home_machine = self.machines.get(*home)?;
+        let attempt = at.attempts.get(key)?;
+        let ran = attempt
+            .running_since
+            .map_or(0.0, |since| now.since(since).as_secs());
+        let here = self.hourly(at, desc)?;
+        let there = self.hourly(home_machine, desc)?;
+        let left_s = (desc.estimate_s - ran).max(0.0);
+        let fetch_s = desc.image_gb / home_machine.fetch.max(0.01);
+        let again_s = desc.save_s + RESTART_S + fetch_s;
+        let task = EvacuatedTask {
+            key: (from.clone(), key.clone()),
+            team: job.team,
+            begun: attempt.running_since.is_some(),
+            saves: desc.checkpoint_s > 0.0,
+            gain: (here - there) * left_s,
+            loss: there * again_s,
+        };
+        Some((task, (*home).clone()))
+    }
+
+    /// What a task's share of a machine costs in an hour.
+    fn hourly(&self, m: &Machine, desc: &JobDesc) -> Option<f64> {
+        let of_type = |t: &&MachineType| t.name == m.build;
+        let machine_type = self.types.iter().find(of_type)?;
+        let price = if m.spot {
+            machine_type.spot_price
+        } else {
+            machine_type.price
+        };
+        Some(price * desc.request().share_of(&m.capacity))
+    }
+
+    fn move_task(&mut self, now: Micros, from: &MachineId, key: &AttemptKey, home: &MachineId) {
+        let Some(job) = self.jobs.get(&key.0.job) else {
+            return;
+        };
+        let (team, request) = (job.team, job.desc.request());
+        let leeway_s = job.desc.save_s + 1.0;
+        let Some(m) = self.machines.get_mut(from) else {
+            return;
+        };
+        m.stop(leeway_s, |k| k == key);
+        self.pending_commands.insert(from.clone());
+        if let Some(m) = self.machines.get_mut(home) {
+            let until = now + HOME_KEPT;
+            match m.reserved.iter_mut().find(|r| r.job == key.0.job) {
+                Some(reserved) => {
+                    reserved.count += 1;
+                    reserved.until = until;
+                }
+                None => m.reserved.push(Reserved {
+                    job: key.0.job.clone(),
+                    request,
+                    count: 1,
+                    until,
+                }),
+            }
+        }
+        if let Some(duties) = &mut self.zones {
+            duties.moves(now, key.clone(), team);
+        }
+        tracing::info!(block = %self.block, task = %key.0, %from, %home, "zone: moving a running task home");
+    }
+}
+
+/// The one that goes first.
+fn first(priorities: impl Iterator<Item = EvacuationPriority>) -> Option<EvacuationPriority> {
+    priorities.min_by(EvacuationPriority::order)
+}
+
+/// What is kept on a machine for jobs that others were stopped for.
+fn reserved(m: &Machine, now: Micros) -> Resources {
+    let mut sum = Resources::default();
+    for r in m.reserved.iter().filter(|r| r.until > now) {
+        sum += r.request.scale(f64::from(r.count));
+    }
+    sum
+}
+
+/// Whether an attempt may be stopped to be started elsewhere: jobs whose tasks are bound to
+/// each other's zones stay together.
+fn may_be_moved(job: &Job, attempt: &Attempt) -> bool {
+    !job.desc.one_zone
+        && !job.desc.apart
+        && !job.ended
+        && attempt.halt.is_none()
+        && attempt.abandoned.is_none()
+        && matches!(attempt.phase, Phase::Pulling | Phase::Running)
+}
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -7,6 +7,7 @@
 mod leading;
 mod readings;
 mod replies;
+mod zones;
 
 use crate::api::read_index::{self, ReadIndex};
 use crate::blocks::holder::{self, Holder};
@@ -26,7 +27,9 @@
 use crate::settings::Settings;
 use crate::store::mirror::{Mirror, Touched};
 use crate::store::{self, Change, Reply, Request, Urgency, cond, keys};
+use crate::subsystems::Subsystems;
 use crate::workers::Report;
+use crate::zones::ZoneFailover;
 use effects::{holder_effect, read_ended, read_index_effect, vital};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -72,6 +75,8 @@
     fleet: Resources,
     view: Arc<View>,
     needs: BTreeMap<BlockId, Vec<Need>>,
+    /// None: zone failover is off.
+    zones: Option<ZoneFailover>,
 }
 
 const LEADER_LEASE: Micros = Micros::from_millis(6_000);
@@ -127,9 +132,17 @@
             fleet: Resources::default(),
             view: Arc::default(),
             needs: BTreeMap::new(),
+            zones: None,
         }
     }
 
+    /// The same with the subsystems that are on.
+    pub fn with_subsystems(mut self, subsystems: &Subsystems) -> Self {
+        let on = subsystems.zone_failover.as_ref();
+        self.zones = on.map(|config| ZoneFailover::new(config.clone(), &self.settings));
+        self
+    }
+
     fn acting(&self, now: Micros) -> bool {
         // Outside its lease a holder must not act: another may hold the block.
         now < self.member.acts_until(self.read)
@@ -205,6 +218,11 @@
                 self.peers.insert(news.from.clone(), (now, news));
             }
             Message::Cancelled { job, revision } => self.cancelled(job, revision),
+            Message::ZoneEvidence(evidence) => {
+                if let Some(zones) = &mut self.zones {
+                    zones.hear(now, evidence);
+                }
+            }
         }
     }
 
@@ -320,7 +338,9 @@
             self.tell_alive(now, out);
             return;
         }
+        self.sync_zones(now);
         self.lead(now, out);
+        self.lead_zones(now, day, out);
         self.drive(now, day, out);
         self.tell(now, day, out);
         self.resign(now, out);
--- a/src/controller/core/leading.rs
+++ b/src/controller/core/leading.rs
@@ -1,6 +1,8 @@
 //! Standing for leader and leading; telling the peers; handing blocks back.
 
 use super::*;
+use crate::fleet::manager::FleetSnapshot;
+use zone_failover::leader::RentalAccess;
 
 /// So many conditions for each change that a transaction may have.
 const CONDS_PER_CHANGE: usize = 4;
@@ -149,10 +151,21 @@
             }
             let news = self.all_block_states(now);
             let leader_revision = self.mirror.leader.as_ref().map_or(Revision(0), |(s, _)| *s);
-            for e in self
-                .manager
-                .step(now, &self.mirror, &leader_cond, self.seen, &types, &news)
-            {
+            let zones = self.zones.as_ref();
+            let access = |zone: &str| {
+                zones.map_or(RentalAccess::Open, |zones| zones.rental_access(now, zone))
+            };
+            let fleet = FleetSnapshot {
+                mirror: &self.mirror,
+                leader: &leader_cond,
+                seen: self.seen,
+                types: &types,
+                news: &news,
+                access: &access,
+            };
+            let effects = self.manager.step(now, &fleet);
+            self.note_probes(now, &effects);
+            for e in effects {
                 out.push(match e {
                     manager::Effect::Cloud(request) => Effect::Cloud(request),
                     manager::Effect::Txn(write, conds, ops) => Effect::Store {
@@ -272,6 +285,7 @@
             }
         }
         out.push(self.peer_state(now, blocks));
+        out.extend(self.zone_evidence(now));
         let all = self.all_block_states(now);
         let until = self.member.acts_until(self.read);
         for (b, h) in &mut self.held {
--- a/src/controller/core/readings.rs
+++ b/src/controller/core/readings.rs
@@ -129,6 +129,10 @@
             }
             self.fleet = fleet;
         }
+        if let Some(zones) = &mut self.zones {
+            zones.sync(now, &self.mirror);
+        }
+        self.sync_zones(now);
         self.publish(now, out);
     }
 
--- a/src/controller/core/replies.rs
+++ b/src/controller/core/replies.rs
@@ -49,6 +49,11 @@
                 self.out.remove("format");
             }
             StoreOperation::Sums | StoreOperation::GarbageCollection => {}
+            StoreOperation::Zones => {
+                if let Some(zones) = &mut self.zones {
+                    zones.committed(now, reply);
+                }
+            }
             StoreOperation::DependencyEnd(id) => {
                 self.dependencies.end_read(now, &id, reply);
                 self.sync_dependencies(now, out);
--- a/src/controller/messages.rs
+++ b/src/controller/messages.rs
@@ -41,6 +41,8 @@
     Format,
     /// Clearing what ended jobs left behind.
     GarbageCollection,
+    /// The states of all zones.
+    Zones,
     /// A write of the fleet's manager, under this leadership.
     Manager(Revision, manager::Write),
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,6 +16,7 @@
 use crate::settings::sockets::{CLOUD_SOCKETS, STORE_SOCKETS};
 use crate::store::client::{Followed, Store};
 use crate::store::{Reply, Request, Urgency};
+use crate::subsystems::Subsystems;
 use crate::workers::{Direct, Report};
 use bytes::Bytes;
 use core::Core;
@@ -74,7 +75,11 @@
 }
 
 /// Runs until killed.
-pub async fn run(settings: Settings, policy: Policy) -> Result<(), ListenError> {
+pub async fn run(
+    settings: Settings,
+    policy: Policy,
+    subsystems: Subsystems,
+) -> Result<(), ListenError> {
     let clock = Steady::start();
     let refused = |addr: &dyn std::fmt::Display, why: &dyn std::fmt::Display| ListenError {
         addr: addr.to_string(),
@@ -132,6 +137,7 @@
     tracing::info!(label = %settings.label, bind = %settings.bind, lease_s = settings.lease().as_secs(), "started");
 
     let core = Core::new(Rc::new(settings), Rc::new(policy), clock.now());
+    let core = core.with_subsystems(&subsystems);
     Driver {
         core,
         clock,
--- a/src/controller/tests/formats.rs
+++ b/src/controller/tests/formats.rs
@@ -117,6 +117,7 @@
                 assert_eq!((job.as_str(), revision), ("j-000412", Revision(70_000)));
                 "cancelled"
             }
+            Message::ZoneEvidence(_) => panic!("production knows no such frame"),
         });
     }
     assert_eq!(seen, ["peer state", "cancelled"]);
--- a/src/fleet/manager.rs
+++ b/src/fleet/manager.rs
@@ -17,6 +17,7 @@
 use crate::store::{Cond, Op, Reply};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use zone_failover::leader::RentalAccess;
 
 /// A leader's write, as it comes back with its answer.
 #[derive(Debug, Clone, PartialEq)]
@@ -86,6 +87,23 @@
     count: u32,
 }
 
+/// What the manager decides by.
+#[derive(Clone, Copy)]
+pub struct FleetSnapshot<'a> {
+    /// What was read of the store.
+    pub mirror: &'a Mirror,
+    /// That this controller still leads.
+    pub leader: &'a Cond,
+    /// The store's revision that the mirror has reached.
+    pub seen: Revision,
+    /// The machine types.
+    pub types: &'a [MachineType],
+    /// What the blocks' holders tell.
+    pub news: &'a BTreeMap<BlockId, BlockState>,
+    /// Whether machines may be rented in a zone.
+    pub access: &'a dyn Fn(&str) -> RentalAccess,
+}
+
 /// What only lives while this controller leads.
 #[derive(Default)]
 pub struct Manager {
@@ -143,15 +161,15 @@
     }
 
     /// One look at everything. Called often; does little when nothing is due.
-    pub fn step(
-        &mut self,
-        now: Micros,
-        mirror: &Mirror,
-        leader: &Cond,
-        seen: Revision,
-        types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockState>,
-    ) -> Vec<Effect> {
+    pub fn step(&mut self, now: Micros, fleet: &FleetSnapshot<'_>) -> Vec<Effect> {
+        let FleetSnapshot {
+            mirror,
+            leader,
+            seen,
+            types,
+            news,
+            ..
+        } = *fleet;
         if self.leader_revision != leader.revision {
             // What an earlier leadership knew is stale; answers still out are dropped by
             // their names. Its rentals are in the store.
@@ -194,7 +212,7 @@
             }
         }
         self.ask_rentals(now, mirror, leader, &mut out);
-        self.rent(now, mirror, leader, types, news, &mut out);
+        self.rent(now, fleet, &mut out);
         out
     }
 
--- a/src/fleet/manager/renting.rs
+++ b/src/fleet/manager/renting.rs
@@ -1,16 +1,16 @@
 //! What to rent for the room that waiting work lacks, and asking the cloud for it.
 
-use super::{Credit, Effect, Manager, Offer, RentalState, Write};
+use super::{Credit, Effect, FleetSnapshot, Manager, Offer, RentalState, Write};
 use crate::blocks::RentalRecord;
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::fleet::{CloudRequest, MachineType};
-use crate::ids::{BlockId, Revision};
-use crate::mesh::BlockState;
+use crate::ids::Revision;
 use crate::placement::Need;
 use crate::store::mirror::Mirror;
 use crate::store::{self, Cond, cond, keys};
 use std::collections::BTreeMap;
+use zone_failover::leader::RentalAccess;
 
 const MOST_RENTALS_OUT: usize = 6;
 
@@ -67,15 +67,15 @@
         }
     }
 
-    pub(super) fn rent(
-        &mut self,
-        now: Micros,
-        mirror: &Mirror,
-        leader: &Cond,
-        types: &[MachineType],
-        news: &BTreeMap<BlockId, BlockState>,
-        out: &mut Vec<Effect>,
-    ) {
+    pub(super) fn rent(&mut self, now: Micros, fleet: &FleetSnapshot<'_>, out: &mut Vec<Effect>) {
+        let FleetSnapshot {
+            mirror,
+            leader,
+            types,
+            news,
+            access,
+            ..
+        } = *fleet;
         self.credits.retain(|_, c| c.until > now);
         self.shapes.retain(|(_, at)| now.since(*at) < SHAPE_KEPT);
         for need in news.values().flat_map(|n| &n.needs) {
@@ -122,7 +122,7 @@
                 if count == 0 || may == 0 {
                     continue;
                 }
-                let Some((t, zone, spot)) = self.cheapest(now, &have, types, need) else {
+                let Some((t, zone, spot)) = self.cheapest(now, &have, types, need, access) else {
                     continue;
                 };
                 if !spot {
@@ -133,7 +133,12 @@
                     count = (f64::from(count) * part(3.0 * horizon) / part(horizon)).round() as u32;
                 }
                 let per = need.request.times_in(&t.capacity()).max(1);
-                let machines = count.div_ceil(per).min(MOST_PER_RENTAL);
+                let most = match access(&zone) {
+                    RentalAccess::Open => MOST_PER_RENTAL,
+                    RentalAccess::Probe => 1,
+                    RentalAccess::Closed => 0,
+                };
+                let machines = count.div_ceil(per).min(most);
                 if machines == 0 {
                     continue;
                 }
@@ -197,6 +202,17 @@
             .any(|(shape, _)| !shape.fits_in(&least) && shape.fits_in(&this))
     }
 
+    /// Whether anything may be rented in a zone. Where its state is to be found out, one
+    /// machine at a time.
+    fn may_rent_in(&self, zone: &str, access: &dyn Fn(&str) -> RentalAccess) -> bool {
+        let asked = || self.rentals.values().any(|(rental, _)| rental.zone == zone);
+        match access(zone) {
+            RentalAccess::Open => true,
+            RentalAccess::Probe => !asked(),
+            RentalAccess::Closed => false,
+        }
+    }
+
     /// The cheapest offer per task that was not refused lately; among equals the
     /// one that we have least of, so that one wave does not take all.
     fn cheapest(
@@ -205,11 +221,15 @@
         have: &BTreeMap<(&str, &str, bool), usize>,
         types: &[MachineType],
         need: &Need,
+        access: &dyn Fn(&str) -> RentalAccess,
     ) -> Option<(MachineType, String, bool)> {
         let mut best: Option<(f64, MachineType, String, bool)> = None;
         for t in types {
             let per = need.request.times_in(&t.capacity());
             for zone in t.zones.iter().filter(|_| per > 0) {
+                if !self.may_rent_in(zone, access) {
+                    continue;
+                }
                 for spot in [true, false] {
                     let offer = Offer {
                         build: t.name.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,4 +19,6 @@
 pub mod policy;
 pub mod settings;
 pub mod store;
+pub mod subsystems;
 pub mod workers;
+pub mod zones;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,9 @@
 use clap::{Parser, Subcommand};
 use rockdeal::policy::Policy;
 use rockdeal::settings::Settings;
+use rockdeal::subsystems::Subsystems;
 use std::error::Error;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// A cluster scheduler: places work lightest team first inside fenced, leased
@@ -23,6 +24,9 @@
     /// The operators' policy; `rockdeal policy` prints the one that is built in.
     #[arg(long, value_name = "FILE")]
     policy: Option<PathBuf>,
+    /// The subsystems that are on (TOML); without it all are off.
+    #[arg(long, value_name = "FILE")]
+    subsystems: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -37,6 +41,9 @@
         /// The operators' policy.
         #[arg(long, value_name = "FILE")]
         policy: Option<PathBuf>,
+        /// The subsystems that are on (TOML).
+        #[arg(long, value_name = "FILE")]
+        subsystems: Option<PathBuf>,
     },
     /// Print the policy that is built in, to start one's own from.
     Policy,
@@ -58,42 +65,92 @@
         .init();
 }
 
-fn load(config: &Path, policy: Option<&Path>) -> Result<(Settings, Policy), Box<dyn Error>> {
-    let settings = Settings::load(config)?;
-    let policy = match policy {
-        Some(file) => Policy::load(file, &settings)?,
-        None => Policy::standard(&settings)?,
-    };
-    Ok((settings, policy))
+/// The files that a controller runs by.
+struct Files {
+    config: PathBuf,
+    policy: Option<PathBuf>,
+    subsystems: Option<PathBuf>,
+}
+
+/// What the files say, checked.
+struct Checked {
+    settings: Settings,
+    policy: Policy,
+    subsystems: Subsystems,
+}
+
+impl Files {
+    fn load(&self) -> Result<Checked, Box<dyn Error>> {
+        let settings = Settings::load(&self.config)?;
+        let policy = match &self.policy {
+            Some(file) => Policy::load(file, &settings)?,
+            None => Policy::standard(&settings)?,
+        };
+        let subsystems = match &self.subsystems {
+            Some(file) => Subsystems::load(file, &settings)?,
+            None => Subsystems::default(),
+        };
+        Ok(Checked {
+            settings,
+            policy,
+            subsystems,
+        })
+    }
+}
+
+/// The subsystems that are on, for the line that a check prints.
+fn describe(subsystems: &Subsystems) -> String {
+    match subsystems.names().as_slice() {
+        [] => String::new(),
+        names => format!("; on: {}", names.join(", ")),
+    }
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (path, policy, only_check) = match (cli.config, cli.command) {
-        (_, Some(Command::Check { config, policy })) => (config, policy, true),
+    let files = |config, policy, subsystems| Files {
+        config,
+        policy,
+        subsystems,
+    };
+    let (files, only_check) = match (cli.config, cli.command) {
+        (
+            _,
+            Some(Command::Check {
+                config,
+                policy,
+                subsystems,
+            }),
+        ) => (files(config, policy, subsystems), true),
         (_, Some(Command::Policy)) => {
             print!("{}", rockdeal::policy::DEFAULT);
             return ExitCode::SUCCESS;
         }
-        (Some(config), None) => (config, cli.policy, false),
+        (Some(config), None) => (files(config, cli.policy, cli.subsystems), false),
         (None, None) => {
             eprintln!("rockdeal: --config FILE is needed; see rockdeal --help");
             return ExitCode::from(2);
         }
     };
-    let (settings, policy) = match load(&path, policy.as_deref()) {
-        Ok(both) => both,
+    let checked = match files.load() {
+        Ok(checked) => checked,
         Err(e) => {
             eprintln!("rockdeal: {e}");
             return ExitCode::FAILURE;
         }
     };
+    let Checked {
+        settings,
+        policy,
+        subsystems,
+    } = checked;
     if only_check {
         println!(
-            "{}: fine; a block's lease is {} s; blocks: {}",
-            path.display(),
+            "{}: fine; a block's lease is {} s; blocks: {}{}",
+            files.config.display(),
             settings.lease().as_secs(),
-            policy.blocks(&settings)
+            policy.blocks(&settings),
+            describe(&subsystems)
         );
         return ExitCode::SUCCESS;
     }
@@ -109,7 +166,8 @@
         }
     };
     let local = tokio::task::LocalSet::new();
-    match runtime.block_on(local.run_until(rockdeal::controller::run(settings, policy))) {
+    match runtime.block_on(local.run_until(rockdeal::controller::run(settings, policy, subsystems)))
+    {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("rockdeal: {e}");
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,11 +9,14 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use zone_failover::evidence::ZoneEvidence;
 
 /// Frames of another version are skipped, so that versions can meet in a roll.
 const VERSION: u16 = 2;
@@ -62,6 +65,9 @@
         /// The store's revision at which it was cancelled.
         revision: Revision,
     },
+    /// What a controller sees of the zones. Sent only where zone failover is on; versions
+    /// that do not know it drop the frame.
+    ZoneEvidence(ZoneEvidence),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -121,6 +127,7 @@
 /// Takes peers' frames in and hands them on.
 pub async fn listen(listener: TcpListener, most: usize, hand_on: mpsc::Sender<Message>) {
     let room = std::sync::Arc::new(tokio::sync::Semaphore::new(most));
+    let unreadable = Rc::new(Cell::new(0_u64));
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else {
             return;
@@ -130,6 +137,7 @@
             continue;
         };
         let hand_on = hand_on.clone();
+        let unreadable = unreadable.clone();
         tokio::task::spawn_local(async move {
             let _permit = permit;
             let mut framed = Framed::new(stream, codec());
@@ -139,7 +147,13 @@
             {
                 let Some(message) = decode(&frame) else {
                     // Of another version, most likely: what it says only speeds things up.
-                    tracing::debug!(bytes = frame.len(), "a peer's frame can't be read: dropped");
+                    unreadable.set(unreadable.get() + 1);
+                    let dropped = unreadable.get();
+                    tracing::debug!(
+                        bytes = frame.len(),
+                        dropped,
+                        "a peer's frame can't be read: dropped"
+                    );
                     continue;
                 };
                 if hand_on.send(message).await.is_err() {
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -159,6 +159,7 @@
             if !request.fits_in(&kind.most)
                 || !d.allows(kind.build, kind.zone, kind.spot)
                 || leaves.contains(&kind.build)
+                || scene.is_closed(job, kind.zone)
             {
                 continue;
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,7 @@
 use crate::jobs::{Job, JobDesc};
 use crate::settings::Settings;
 use crate::workers::{Attempt, Leaving, Machine, Phase};
+use crate::zones::ZoneDuties;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
@@ -82,9 +83,26 @@
     pub constrained: &'a ConstrainedDemand,
     /// By team, what its jobs that fail again and again would hold.
     pub failing: Vec<(usize, Resources)>,
+    /// Zones that are lost or come home; none: zone failover is off.
+    pub zones: Option<&'a ZoneDuties>,
 }
 
 impl SchedulingSnapshot<'_> {
+    /// Whether new work of a job stays out of a zone.
+    fn is_closed(&self, job: &Job, zone: &str) -> bool {
+        self.zones
+            .is_some_and(|duties| duties.closed_to(job, zone, self.day))
+    }
+
+    /// Puts work that lost its zone into its stated order, among jobs that come with the
+    /// most urgent first.
+    fn in_evacuation_order<'a, T>(&self, jobs: Vec<T>, job_of: impl Fn(&T) -> &'a Job) -> Vec<T> {
+        match self.zones {
+            Some(duties) => duties.order(jobs, job_of, self.day),
+            None => jobs,
+        }
+    }
+
     fn heaviness(&self, weights: &Weights, team: usize) -> f64 {
         let guarantee = self.settings.platform.teams[team].guarantee();
         // Guards against a broken team that stays lightest (the design's watch item): its
@@ -189,6 +207,9 @@
             let starved = starved(j, scene.day).then_some(Reverse(j.last_start));
             (starved, j.rank(), Reverse((j.urgency(scene.day), j.at)))
         });
+        queue.reverse();
+        queue = scene.in_evacuation_order(queue, |(_, job)| job);
+        queue.reverse();
         let queued = |(id, j): (&JobId, &Job)| Queued {
             id: id.clone(),
             request: j.desc.request(),
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -111,6 +111,10 @@
     }
     let mut jobs: Vec<&Job> = scene.jobs.values().filter(|j| j.wants_machines()).collect();
     jobs.sort_by_cached_key(|j| (Reverse(j.rank()), j.slack(scene.day)));
+    let mut jobs = scene.in_evacuation_order(jobs, |job| *job);
+    if let Some(duties) = scene.zones {
+        jobs.retain(|job| duties.may_rent_for(&job.desc.id));
+    }
     let mut rooms: Vec<ComingMachines<'_>> = coming.to_vec();
     let mut carry = 0.0;
     let mut needs: Vec<Need> = Vec::new();
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -179,8 +179,11 @@
         let mut pending = request
             .times_in(&(limits.limit() - used))
             .min(job.waiting.len().saturating_sub(coming));
-        let allowed =
-            |m: &Machine| d.allows(&m.build, &m.zone, m.spot) && !m.avoided_by(id, scene.now);
+        let allowed = |m: &Machine| {
+            d.allows(&m.build, &m.zone, m.spot)
+                && !m.avoided_by(id, scene.now)
+                && !scene.is_closed(job, &m.zone)
+        };
         // Room that another's stop left over.
         for (m, room) in &mut free {
             let n = request.times_in(room).min(pending);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -79,7 +79,7 @@
 const ANY: Kind = Kind::Number(0.0, 1e9);
 
 /// What is known of a job before it comes.
-const JOB: [(&str, Kind); 10] = [
+pub(crate) const JOB: [(&str, Kind); 10] = [
     ("class", Kind::Text),
     ("team", Kind::Text),
     ("rank", Kind::Text),
@@ -104,10 +104,34 @@
     ("spot", Kind::Truth, true),
 ];
 
-type Known = [(&'static str, f64); 6];
+pub(crate) type Known = [(&'static str, f64); 6];
+
+/// What expressions may ask of a job.
+pub(crate) fn job_value(d: &JobDesc, name: &str) -> Option<Value> {
+    let rank = match d.rank {
+        Rank::Idle => "idle",
+        Rank::Standard => "standard",
+        Rank::High => "high",
+        Rank::Production => "production",
+    };
+    let text = |t: &str| Value::Text(t.to_owned());
+    Some(match name {
+        "class" => text(&d.class),
+        "team" => text(&d.team),
+        "rank" => text(rank),
+        "tasks" => Value::Number(f64::from(d.tasks)),
+        "cores" => Value::Number(d.cores),
+        "memory_gb" => Value::Number(d.mem),
+        "image_gb" => Value::Number(d.image_gb),
+        "estimate_s" => Value::Number(d.estimate_s),
+        "due_s" => Value::Number(d.due_s.unwrap_or(0.0)),
+        "has_deadline" => Value::Truth(d.due_s.is_some()),
+        _ => return None,
+    })
+}
 
 /// What the platform's file says, for expressions.
-fn platform(settings: &Settings) -> Known {
+pub(crate) fn platform(settings: &Settings) -> Known {
     let p = &settings.platform;
     [
         ("report_s", p.workers.report_s),
@@ -119,7 +143,7 @@
     ]
 }
 
-fn value_of(known: &Known, name: &str) -> Option<Value> {
+pub(crate) fn value_of(known: &Known, name: &str) -> Option<Value> {
     let found = known.iter().find(|(n, _)| *n == name);
     found.map(|(_, v)| Value::Number(*v))
 }
@@ -181,26 +205,7 @@
 
     /// What it says of a job.
     pub fn job(&self, d: &JobDesc) -> JobChoice {
-        let rank = match d.rank {
-            Rank::Idle => "idle",
-            Rank::Standard => "standard",
-            Rank::High => "high",
-            Rank::Production => "production",
-        };
-        let text = |t: &str| Some(Value::Text(t.to_owned()));
-        let value = |n: &str| match n {
-            "class" => text(&d.class),
-            "team" => text(&d.team),
-            "rank" => text(rank),
-            "tasks" => Some(Value::Number(f64::from(d.tasks))),
-            "cores" => Some(Value::Number(d.cores)),
-            "memory_gb" => Some(Value::Number(d.mem)),
-            "image_gb" => Some(Value::Number(d.image_gb)),
-            "estimate_s" => Some(Value::Number(d.estimate_s)),
-            "due_s" => Some(Value::Number(d.due_s.unwrap_or(0.0))),
-            "has_deadline" => Some(Value::Truth(d.due_s.is_some())),
-            _ => value_of(&self.known, n),
-        };
+        let value = |name: &str| job_value(d, name).or_else(|| value_of(&self.known, name));
         let normal = JobChoice::default();
         // A job may be larger than the checker's ranges know, hence the clamps.
         let number = |e: &Expr, or: f64, least: f64, most: f64| match e.eval(&value) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Micros;
 use crate::fairness::Resources;
-use crate::ids::Label;
+use crate::ids::{Label, ZoneId};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 use std::path::Path;
@@ -43,6 +43,9 @@
 pub struct Seed {
     /// The controller's label.
     pub label: Label,
+    /// The zone that it is in.
+    #[serde(default, rename = "area")]
+    pub zone: Option<ZoneId>,
     /// Where it listens for its peers.
     pub addr: SocketAddrV4,
 }
@@ -201,6 +204,9 @@
 pub struct Platform {
     /// How many controllers there are.
     pub initial_size: usize,
+    /// The zones that machines may be in.
+    #[serde(default)]
+    pub zones: Vec<String>,
     /// The teams, each known by its place here.
     pub teams: Vec<Team>,
     /// What users expect.
@@ -416,6 +422,12 @@
         Some(Micros::from_secs(least))
     }
 
+    /// The classes of jobs that objectives name.
+    pub fn classes_with_objectives(&self) -> Vec<String> {
+        let objectives = self.platform.objectives.iter();
+        objectives.filter_map(|o| o.class.clone()).collect()
+    }
+
     /// A team's place by its name.
     pub fn team(&self, name: &str) -> Option<usize> {
         self.platform.teams.iter().position(|t| t.name == name)
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -31,6 +31,8 @@
     pub types: Option<(Revision, Vec<MachineType>)>,
     /// The format level that every controller understands; none is recorded at first.
     pub format: Option<(Revision, FormatRecord)>,
+    /// The states of all zones, as they were written: their subsystem reads them.
+    pub zones: Option<(Revision, Value)>,
     /// The controllers that take part.
     pub members: Table<Label, MemberRecord>,
     /// Who holds each block.
@@ -127,6 +129,7 @@
             ["r", "format"] => {
                 self.format = read(key, value, unreadable).map(|r| (revision, r));
             }
+            ["r", "zones"] => self.zones = value.map(|v| (revision, v)),
             ["r", "members", label] => {
                 let record = read(key, value, unreadable);
                 put(&mut self.members, Label::from(*label), record, revision);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -28,6 +28,9 @@
     /// The format level that every controller understands.
     pub const FORMAT: &str = "r/format";
 
+    /// The states of all zones.
+    pub const ZONES: &str = "r/zones";
+
     /// A controller's membership.
     pub fn member(label: &Label) -> String {
         format!("r/members/{label}")
--- /dev/null
+++ b/src/zones/duties.rs
@@ -0,0 +1,206 @@
+//! What the holder of a block keeps in mind while zones are lost or come home.
+
+use super::{ZoneFailoverConfig, ZoneSituation};
+use crate::clock::Micros;
+use crate::ids::{JobId, MachineId, ZoneId};
+use crate::jobs::Job;
+use crate::workers::AttemptKey;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use zone_failover::evacuation::{
+    DisplacedJob, EvacuationPriority, SilentMachine, Waiting, Waves, merge_displaced,
+};
+use zone_failover::health::ZoneState;
+
+/// Silent machines of a zone that stays suspect are returned after all.
+const MOST_WITHHELD: Micros = Micros::from_millis(15_000);
+
+/// A move of a running task whose end was not seen counts against its team's budget so long.
+const MOVE_TIME: Micros = Micros::from_millis(60_000);
+
+/// A task on its way home.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Move {
+    team: usize,
+    until: Micros,
+}
+
+/// The zones, as the holder of a block deals with them.
+#[derive(Debug)]
+pub struct ZoneDuties {
+    /// The checked settings.
+    pub config: Rc<ZoneFailoverConfig>,
+    /// How the zones stand.
+    pub situation: Rc<ZoneSituation>,
+    waves: Waves,
+    /// Jobs that lost an attempt with a zone.
+    displaced: BTreeMap<JobId, ZoneId>,
+    /// Silent machines of lost zones that may be returned.
+    may_give_up: BTreeSet<MachineId>,
+    /// Since when a zone is suspect here.
+    suspect_since: BTreeMap<ZoneId, Micros>,
+    moves: BTreeMap<AttemptKey, Move>,
+}
+
+impl ZoneDuties {
+    /// With nothing displaced.
+    pub fn new(config: Rc<ZoneFailoverConfig>, situation: Rc<ZoneSituation>) -> Self {
+        ZoneDuties {
+            waves: Waves::new(config.settings.waves.clone()),
+            config,
+            situation,
+            displaced: BTreeMap::new(),
+            may_give_up: BTreeSet::new(),
+            suspect_since: BTreeMap::new(),
+            moves: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in how the zones stand now.
+    pub fn sync(&mut self, now: Micros, situation: &Rc<ZoneSituation>) {
+        if !Rc::ptr_eq(&self.situation, situation) {
+            self.situation = situation.clone();
+            let suspect = |id: &ZoneId| self.situation.state(id.as_str()) == ZoneState::Suspect;
+            self.suspect_since.retain(|id, _| suspect(id));
+            for id in self.situation.troubled.keys().filter(|id| suspect(id)) {
+                self.suspect_since.entry(id.clone()).or_insert(now);
+            }
+            self.waves.sync(&self.situation.lost());
+        }
+    }
+
+    /// A job lost an attempt, or may have, on a machine of a zone.
+    pub fn displace(&mut self, job: &JobId, zone: &str) {
+        let state = self.situation.state(zone);
+        if matches!(state, ZoneState::Suspect | ZoneState::Lost) {
+            self.displaced.insert(job.clone(), zone.into());
+        }
+    }
+
+    /// Forgets jobs that are over, and moves that are.
+    pub fn forget(&mut self, now: Micros, jobs: &BTreeMap<JobId, Job>) {
+        self.displaced.retain(|id, _| jobs.contains_key(id));
+        self.moves.retain(|_, m| m.until > now);
+    }
+
+    /// The zone that a job was displaced from.
+    pub fn displaced_from(&self, job: &JobId) -> Option<&ZoneId> {
+        self.displaced.get(job)
+    }
+
+    /// The place of a job among those that are moved out of lost zones now.
+    fn priority(&self, job: &Job, day: Micros) -> Option<EvacuationPriority> {
+        let zone = self.displaced.get(&job.desc.id)?;
+        let evacuating = self.waves.is_evacuating(zone);
+        evacuating.then(|| self.config.order.priority(job, day))
+    }
+
+    /// Puts displaced jobs into their stated order; the most urgent job comes first.
+    pub fn order<'a, T>(
+        &self,
+        jobs: Vec<T>,
+        job_of: impl Fn(&T) -> &'a Job,
+        day: Micros,
+    ) -> Vec<T> {
+        let waiting = |entry: T| {
+            let displaced = self.priority(job_of(&entry), day);
+            Waiting {
+                job: entry,
+                displaced,
+            }
+        };
+        merge_displaced(jobs.into_iter().map(waiting).collect())
+    }
+
+    /// Whether machines may be rented for a job: a displaced one waits for its wave.
+    pub fn may_rent_for(&self, job: &JobId) -> bool {
+        let zone = self.displaced.get(job);
+        zone.is_none_or(|zone| self.waves.is_admitted(zone, job))
+    }
+
+    /// Whether new work of a job stays out of a zone.
+    pub fn closed_to(&self, job: &Job, zone: &str, day: Micros) -> bool {
+        !self.situation.troubled.is_empty()
+            && self
+                .situation
+                .closed_to(&job.desc, day.since(job.since), zone)
+    }
+
+    /// Whether a silent machine of a zone is kept for now.
+    pub fn withholds(&self, now: Micros, machine: &MachineId, zone: &str) -> bool {
+        match self.situation.state(zone) {
+            ZoneState::Healthy | ZoneState::Probation => false,
+            // It may be back in a moment, with all that ran there.
+            ZoneState::Suspect => self
+                .suspect_since
+                .get(zone)
+                .is_some_and(|since| now.since(*since) < MOST_WITHHELD),
+            ZoneState::Lost => !self.may_give_up.contains(machine),
+        }
+    }
+
+    /// Which silent machines may be returned in this wave, and which displaced jobs may have
+    /// machines rented for them. `silent` and the waiting tasks are by lost zone.
+    pub fn advance(
+        &mut self,
+        day: Micros,
+        mut silent: BTreeMap<ZoneId, Vec<SilentMachine>>,
+        jobs: &BTreeMap<JobId, Job>,
+    ) {
+        self.may_give_up.clear();
+        for zone in self.situation.lost().into_keys() {
+            let machines = silent.remove(&zone).unwrap_or_default();
+            let allowed = self.waves.give_up(&zone, machines);
+            self.may_give_up.extend(allowed);
+            let waiting = self.waiting_from(&zone, jobs, day);
+            self.waves.admit(&zone, waiting);
+        }
+    }
+
+    fn waiting_from(
+        &self,
+        zone: &ZoneId,
+        jobs: &BTreeMap<JobId, Job>,
+        day: Micros,
+    ) -> Vec<DisplacedJob> {
+        let of_zone = self.displaced.iter().filter(|(_, from)| *from == zone);
+        of_zone
+            .filter_map(|(id, _)| Some((id, jobs.get(id).filter(|j| j.wants_machines())?)))
+            .map(|(id, job)| DisplacedJob {
+                id: id.clone(),
+                priority: self.config.order.priority(job, day),
+                tasks: job.waiting.len(),
+            })
+            .collect()
+    }
+
+    /// Silent machines and displaced tasks of a lost zone that wait for a further wave.
+    pub fn held_back(&self, zone: &ZoneId, silent: usize, jobs: &BTreeMap<JobId, Job>) -> u32 {
+        if !self.waves.is_evacuating(zone) {
+            return 0;
+        }
+        let of_zone = self.displaced.iter().filter(|(_, from)| *from == zone);
+        let tasks: u32 = of_zone
+            .filter(|(id, _)| !self.waves.is_admitted(zone, id))
+            .filter_map(|(id, _)| jobs.get(id).filter(|j| j.wants_machines()))
+            .map(|job| job.waiting.len())
+            .sum();
+        let machines = self.waves.held_back(zone, silent);
+        tasks.saturating_add(u32::try_from(machines).unwrap_or(u32::MAX))
+    }
+
+    /// Tasks of each team that are on their way home.
+    pub fn moving(&self) -> BTreeMap<usize, u32> {
+        let mut moving = BTreeMap::new();
+        for m in self.moves.values() {
+            *moving.entry(m.team).or_default() += 1;
+        }
+        moving
+    }
+
+    /// A task is being moved home.
+    pub fn moves(&mut self, now: Micros, task: AttemptKey, team: usize) {
+        let until = now + MOVE_TIME;
+        self.moves.insert(task, Move { team, until });
+    }
+}
--- /dev/null
+++ b/src/zones/mod.rs
@@ -0,0 +1,249 @@
+//! Zone failover in a controller: what it sees of the zones, what it reads and commits of
+//! their states, and what placement and renting have to know.
+//!
+//! The decisions are in the package `zone-failover`; this slice feeds it and carries out
+//! what it says.
+
+mod duties;
+mod order;
+
+pub use duties::ZoneDuties;
+pub use order::EvacuationOrder;
+
+use crate::clock::Micros;
+use crate::ids::{Label, Revision, ZoneId};
+use crate::jobs::JobDesc;
+use crate::settings::Settings;
+use crate::store::mirror::Mirror;
+use crate::store::{self, Cond, Op, Reply, cond, keys};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use zone_failover::evidence::{ZoneCounts, ZoneEvidence};
+use zone_failover::health::ZoneState;
+use zone_failover::leader::{Effect, Message, RentalAccess, ZoneLeader};
+use zone_failover::record::{RecordError, ZoneRecord, ZonesRecord};
+use zone_failover::view::ZoneView;
+
+/// The checked settings of zone failover.
+#[derive(Debug)]
+pub struct ZoneFailoverConfig {
+    /// Of the package.
+    pub settings: zone_failover::settings::Settings,
+    /// The order of evacuation.
+    pub order: EvacuationOrder,
+}
+
+/// How the zones stand, as placement and the blocks' holders may rely on it.
+#[derive(Debug, PartialEq)]
+pub struct ZoneSituation {
+    /// Zones that are not healthy.
+    pub troubled: BTreeMap<ZoneId, ZoneRecord>,
+    /// Zones that were lost and are healthy again.
+    pub returned: BTreeMap<ZoneId, ZoneRecord>,
+    /// A job that has waited for so long may use any machine that is heard.
+    pub patience: Micros,
+}
+
+impl ZoneSituation {
+    /// The state of a zone.
+    pub fn state(&self, zone: &str) -> ZoneState {
+        self.troubled
+            .get(zone)
+            .map_or(ZoneState::Healthy, |z| z.state)
+    }
+
+    /// Zones that are lost.
+    pub fn lost(&self) -> BTreeMap<ZoneId, ZoneRecord> {
+        let lost = self
+            .troubled
+            .iter()
+            .filter(|(_, z)| z.state == ZoneState::Lost);
+        lost.map(|(id, zone)| (id.clone(), zone.clone())).collect()
+    }
+
+    /// Whether new work of a job stays out of a zone. Never for good: work that can go
+    /// nowhere else, or has waited for long, uses what is heard there.
+    pub fn closed_to(&self, job: &JobDesc, waited: Micros, zone: &str) -> bool {
+        let avoided = matches!(self.state(zone), ZoneState::Lost | ZoneState::Probation);
+        let bound = job.zone.as_deref() == Some(zone);
+        avoided && !bound && waited < self.patience
+    }
+}
+
+/// How often the view is looked at without a change: the record of a leader that is gone
+/// counts for a while only.
+const REFRESH_EVERY: Micros = Micros::from_millis(500);
+
+/// Zone failover in one controller.
+#[derive(Debug)]
+pub struct ZoneFailover {
+    /// The checked settings.
+    pub config: Rc<ZoneFailoverConfig>,
+    label: Label,
+    leader: ZoneLeader,
+    view: ZoneView,
+    /// The record as it was last read, with its revision.
+    record: Option<ZonesRecord>,
+    record_revision: Revision,
+    /// A newer version wrote the record: it is left as it is.
+    is_newer: bool,
+    /// Records that could not be read so far.
+    unreadable: u64,
+    sequence: u64,
+    situation: Rc<ZoneSituation>,
+    last_refresh: Micros,
+}
+
+impl ZoneFailover {
+    /// With nothing known of any zone.
+    pub fn new(config: Rc<ZoneFailoverConfig>, settings: &Settings) -> Self {
+        let zones = settings.platform.zones.iter().map(|z| z.as_str().into());
+        let situation = ZoneSituation {
+            troubled: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            patience: config.settings.health.patience,
+        };
+        ZoneFailover {
+            label: settings.label.clone(),
+            leader: ZoneLeader::new(config.settings.clone(), zones),
+            config,
+            view: ZoneView::default(),
+            record: None,
+            record_revision: Revision(0),
+            is_newer: false,
+            unreadable: 0,
+            sequence: 0,
+            situation: Rc::new(situation),
+            last_refresh: Micros::ZERO,
+        }
+    }
+
+    /// How the zones stand.
+    pub fn situation(&self) -> &Rc<ZoneSituation> {
+        &self.situation
+    }
+
+    /// Records that could not be read so far.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable
+    }
+
+    /// Takes in what was read of the store.
+    pub fn sync(&mut self, now: Micros, mirror: &Mirror) {
+        let (revision, value) = match &mirror.zones {
+            Some((revision, value)) => (*revision, Some(value)),
+            None => (Revision(0), None),
+        };
+        if revision != self.record_revision {
+            self.record_revision = revision;
+            self.is_newer = false;
+            self.record = value.and_then(|v| match ZonesRecord::read(v) {
+                Ok(record) => Some(record),
+                Err(error) => {
+                    self.is_newer = matches!(error, RecordError::Newer(_));
+                    self.unreadable += 1;
+                    tracing::error!(%error, unreadable = self.unreadable, "zone: the record is no opinion about any zone");
+                    None
+                }
+            });
+        }
+        let leader = mirror.leader.as_ref().map(|(revision, _)| *revision);
+        self.view.sync(now, self.record.as_ref(), leader);
+        self.refresh(now);
+    }
+
+    /// Looks at the view again, since time alone changes it, too.
+    pub fn tick(&mut self, now: Micros, mirror: &Mirror) {
+        if now.since(self.last_refresh) >= REFRESH_EVERY {
+            self.sync(now, mirror);
+        }
+    }
+
+    fn refresh(&mut self, now: Micros) {
+        self.last_refresh = now;
+        let situation = ZoneSituation {
+            troubled: self.view.troubled(now),
+            returned: self.view.returned(now),
+            patience: self.situation.patience,
+        };
+        if situation != *self.situation {
+            self.situation = Rc::new(situation);
+        }
+    }
+
+    /// Takes a peer's evidence in.
+    pub fn hear(&mut self, now: Micros, evidence: ZoneEvidence) {
+        self.leader
+            .handle(now, Micros::ZERO, Message::Evidence(evidence));
+    }
+
+    /// What this controller sees, for its peers and for itself.
+    pub fn evidence(
+        &mut self,
+        now: Micros,
+        incarnation: Revision,
+        zones: Vec<ZoneCounts>,
+    ) -> ZoneEvidence {
+        self.sequence += 1;
+        let evidence = ZoneEvidence {
+            from: self.label.clone(),
+            incarnation,
+            sequence: self.sequence,
+            zones,
+        };
+        self.hear(now, evidence.clone());
+        evidence
+    }
+
+    /// This controller does not lead.
+    pub fn follow(&mut self, now: Micros) {
+        self.leader.handle(now, Micros::ZERO, Message::Following);
+    }
+
+    /// This controller leads: what is to be committed now, if anything.
+    pub fn lead(
+        &mut self,
+        now: Micros,
+        day: Micros,
+        leader: &Cond,
+    ) -> Option<(Vec<Cond>, Vec<Op>)> {
+        if !self.leader.leads(leader.revision) {
+            let record = self.record.clone();
+            let leader = leader.revision;
+            self.leader
+                .handle(now, day, Message::Leading { leader, record });
+        }
+        let effects = self.leader.handle(now, day, Message::Tick);
+        let Effect::Commit(record) = effects.into_iter().next()?;
+        if self.is_newer {
+            // Guards against an older version that takes back what a newer one committed.
+            self.leader
+                .handle(now, day, Message::Committed { done: false });
+            return None;
+        }
+        // Conditional on the leader's key, so a leader that has been replaced is refused.
+        let conds = vec![
+            leader.clone(),
+            cond(keys::ZONES.into(), self.record_revision),
+        ];
+        Some((conds, vec![store::set(keys::ZONES.into(), &record)]))
+    }
+
+    /// The store has answered a commit.
+    pub fn committed(&mut self, now: Micros, reply: &Reply) {
+        // One without an answer is asked for again: the same record does no harm twice.
+        let done = matches!(reply, Reply::Committed(_));
+        self.leader
+            .handle(now, Micros::ZERO, Message::Committed { done });
+    }
+
+    /// Whether machines may be rented in a zone.
+    pub fn rental_access(&self, now: Micros, zone: &str) -> RentalAccess {
+        self.leader.rental_access(now, &zone.into())
+    }
+
+    /// A machine was rented to see whether a zone is back.
+    pub fn probed(&mut self, now: Micros, zone: &str) {
+        self.leader.probed(now, &zone.into());
+    }
+}
