Zone failover: larger waves, silence after 1.4 report intervals

Change: 200 machines and 2,000 tasks each second, which is what the cloud's calls allow; silence after 1.4 intervals instead of 1.6.

--- a/crates/zone-failover/src/settings.rs
+++ b/crates/zone-failover/src/settings.rs
@@ -204,9 +204,9 @@
 impl Default for WaveSettings {
     fn default() -> Self {
         WaveSettings {
-            machines: 50,
-            tasks: 500,
-            interval: Micros::from_millis(2_000),
+            machines: 200,
+            tasks: 2_000,
+            interval: Micros::from_millis(1_000),
         }
     }
 }
--- a/src/blocks/holder/zones.rs
+++ b/src/blocks/holder/zones.rs
@@ -16,9 +16,9 @@
 use zone_failover::health::ZoneState;
 use zone_failover::homecoming::{self, EvacuatedTask};
 
-/// Reports come within a quarter of their interval; a machine that has missed one, and the
-/// time that a report takes, is silent.
-const SILENT_REPORTS: f64 = 1.6;
+/// Reports come within a quarter of their interval; a machine that is later than that, and
+/// the time that a report takes, is silent.
+const SILENT_REPORTS: f64 = 1.4;
 /// Shorter than this may be a busy moment.
 const LEAST_SILENCE: Micros = Micros::from_millis(3_000);
 /// A machine that has not reported since a take-over has to find its way here first.
