--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -4,6 +4,7 @@
 mod dependencies;
 mod fleet;
 mod formats;
+mod loopback;
 mod meetings;
 mod pairs;
 mod size;
