--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -267,8 +267,7 @@
 
 /// The answer about a job whose end was read.
 fn ended(row: &store::Row, id: &JobId) -> UserAnswer {
-    serde_json::from_value(row.value.clone())
-        .map_or(NO_STORE, |record| known(Found::Ended(record), id))
+    EndedRecord::read(row).map_or(NO_STORE, |record| known(Found::Ended(record), id))
 }
 
 /// The answer about a job that the store has.
--- a/src/api/read_index.rs
+++ b/src/api/read_index.rs
@@ -157,8 +157,7 @@
     /// The record of an ended job was read.
     pub fn ended(&mut self, id: JobId, reply: &Reply) -> Vec<Effect> {
         let found = match reply {
-            Reply::Found(row) => serde_json::from_value::<EndedRecord>(row.value.clone())
-                .map_or(Found::Unreadable, Found::Ended),
+            Reply::Found(row) => EndedRecord::read(row).map_or(Found::Unreadable, Found::Ended),
             Reply::Missing => Found::Nothing,
             _ => Found::Unreadable,
         };
--- a/src/blocks/holder/records.rs
+++ b/src/blocks/holder/records.rs
@@ -1,7 +1,7 @@
 //! What the holder records: jobs' ends and progress, machines in use or given up.
 
 use super::{Effect, Freed, Holder, MachinesRecord, Resigning, Write};
-use crate::blocks::HolderRecord;
+use crate::blocks::{HolderRecord, write_parts};
 use crate::clock::Micros;
 use crate::ids::{JobId, MachineId, Revision};
 use crate::placement::{self, Need};
@@ -267,13 +267,9 @@
             } else {
                 vec![new]
             };
-            let at = std::iter::once((n, revision));
-            let further = (&mut free).map(|n| (n, Revision(0)));
-            for ((n, revision), part) in at.chain(further).zip(parts) {
-                let key = keys::machines(self.block, n);
-                conds.push(cond(key.clone(), revision));
-                ops.push(store::set(key, &part));
-            }
+            let (of_parts, writes) = write_parts(self.block, (n, revision), parts, &mut free);
+            conds.extend(of_parts);
+            ops.extend(writes);
         }
         if ids.is_empty() {
             return None;
--- a/src/blocks/holder/reports.rs
+++ b/src/blocks/holder/reports.rs
@@ -229,7 +229,7 @@
     /// The record of an ended job was read, or not.
     pub fn read_ended(&mut self, now: Micros, id: &JobId, reply: &Reply) {
         let takes = match reply {
-            Reply::Found(row) => serde_json::from_value::<EndedRecord>(row.value.clone())
+            Reply::Found(row) => EndedRecord::read(row)
                 .ok()
                 .and_then(|rec| rec.footprint)
                 .and_then(|f| Some((self.settings.team(&f.team)?, f.request))),
--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -6,6 +6,7 @@
 pub mod member;
 
 use crate::ids::{BlockId, Label, LeaseId, MachineId, Revision, Term};
+use crate::store::{self, Cond, Op, cond, keys};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -175,6 +176,24 @@
     }
 }
 
+/// Writes a shard of a block in parts: the first in its place, the others under free numbers.
+pub fn write_parts(
+    block: BlockId,
+    (shard, revision): (u32, Revision),
+    parts: Vec<MachinesRecord>,
+    free: impl Iterator<Item = u32>,
+) -> (Vec<Cond>, Vec<Op>) {
+    let further = free.map(|number| (number, Revision(0)));
+    let places = std::iter::once((shard, revision)).chain(further);
+    let (mut conds, mut ops) = (Vec::new(), Vec::new());
+    for ((number, revision), part) in places.zip(parts) {
+        let key = keys::machines(block, number);
+        conds.push(cond(key.clone(), revision));
+        ops.push(store::set(key, &part));
+    }
+    (conds, ops)
+}
+
 /// What a shard may hold where a value holds so much.
 fn most_shard_bytes(value_bytes: usize) -> usize {
     SHARD_BYTES.min(value_bytes - value_bytes / SPARE_PART)
--- a/src/fleet/manager/recording.rs
+++ b/src/fleet/manager/recording.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::blocks::leader::take_terms;
-use crate::blocks::{MachineRecord, MachinesRecord};
+use crate::blocks::{MachineRecord, MachinesRecord, write_parts};
 use crate::fleet::shards::{Draft, Spread};
 use crate::store::{self, cond, keys};
 
@@ -67,14 +67,9 @@
         self.last_split = now;
         self.writing = true;
         tracing::info!(%block, shard, parts = parts.len(), "a shard is recorded in parts");
-        let further = mirror.free_shards(block).map(|n| (n, Revision(0)));
-        let mut conds = vec![leader.clone()];
-        let mut ops = Vec::new();
-        for ((n, revision), part) in std::iter::once((shard, revision)).chain(further).zip(parts) {
-            let key = keys::machines(block, n);
-            conds.push(cond(key.clone(), revision));
-            ops.push(store::set(key, &part));
-        }
+        let free = mirror.free_shards(block);
+        let (of_parts, ops) = write_parts(block, (shard, revision), parts, free);
+        let conds = std::iter::once(leader.clone()).chain(of_parts).collect();
         Some(Effect::Txn(Write::Split, conds, ops))
     }
 
--- a/src/jobs/dependencies.rs
+++ b/src/jobs/dependencies.rs
@@ -233,7 +233,7 @@
             self.read_again(now, id);
             return;
         };
-        match serde_json::from_value::<EndedRecord>(row.value.clone()) {
+        match EndedRecord::read(row) {
             Ok(record) => self.end_stored(id, JobEnd::of(&record, row.revision)),
             Err(error) => {
                 // Whatever it says, it does not say done: nothing that needs it starts.
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -4,6 +4,7 @@
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::{Label, Term};
+use crate::store::Row;
 use serde::{Deserialize, Serialize};
 
 /// What the store keeps of a job that is not over. It never changes, so that
@@ -69,3 +70,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub at: Option<Micros>,
 }
+
+impl EndedRecord {
+    /// The record that the store answered with. One that can't be read says nothing, least
+    /// of all that the job is done.
+    pub fn read(row: &Row) -> Result<EndedRecord, serde_json::Error> {
+        EndedRecord::deserialize(&row.value)
+    }
+}
