Zone failover: rentals from 20 s before a probation's end, and a probation of a minute at most

Change: a zone on probation is open for rentals once no more than 20 s of it are left, about what a machine takes to boot; most-probation is 60 s instead of 5 minutes, operators may choose more.

--- a/crates/zone-failover/src/health.rs
+++ b/crates/zone-failover/src/health.rs
@@ -169,6 +169,11 @@
         Micros(length).min(settings.most_probation)
     }
 
+    /// How long a zone on probation still has to stay up.
+    pub fn probation_left(&self, settings: &HealthSettings) -> Micros {
+        self.probation(settings).since(self.calm)
+    }
+
     /// Takes in what is seen `elapsed` after the last look. `may_be_lost` is false where no
     /// other zone could take the work.
     pub fn observe(
--- a/crates/zone-failover/src/leader.rs
+++ b/crates/zone-failover/src/leader.rs
@@ -20,6 +20,9 @@
 const LOOK_EVERY: Micros = Micros::from_millis(500);
 /// A commit without an answer for so long is asked for again.
 const COMMIT_TIMEOUT: Micros = Micros::from_millis(6_000);
+/// Machines take at least about so long to boot: they are rented so long before the end of
+/// a probation, and are up when it ends.
+const RENT_AHEAD: Micros = Micros::from_millis(20_000);
 /// After it begins to lead, a leader has not heard everybody yet.
 const LISTEN_FIRST: Micros = Micros::from_millis(2_000);
 
@@ -311,8 +314,10 @@
             return RentalAccess::Open;
         };
         let is_unseen = now.since(zone.last_seen) >= self.settings.health.probe_after;
+        let probation_left = zone.health.probation_left(&self.settings.health);
         match zone.health.state() {
             ZoneState::Healthy => RentalAccess::Open,
+            ZoneState::Probation if probation_left <= RENT_AHEAD => RentalAccess::Open,
             // Guards against a zone that stays in its state for ever, whichever it is: with
             // its last machine returned, nothing tells of it any more.
             _ if is_unseen && !zone.declared => RentalAccess::Probe,
--- a/crates/zone-failover/src/settings.rs
+++ b/crates/zone-failover/src/settings.rs
@@ -179,7 +179,7 @@
             lost_after: Micros::from_millis(4_000),
             return_after: Micros::from_millis(3_000),
             probation: Micros::from_millis(10_000),
-            most_probation: Micros::from_millis(300_000),
+            most_probation: Micros::from_millis(60_000),
             quiet: Micros::from_millis(600_000),
             probe_after: Micros::from_millis(20_000),
             patience: Micros::from_millis(30_000),
--- a/crates/zone-failover/tests/leader.rs
+++ b/crates/zone-failover/tests/leader.rs
@@ -319,6 +319,23 @@
     assert_eq!(access(&world), RentalAccess::Probe);
 }
 
+#[test]
+fn machines_are_rented_before_a_probation_ends_and_no_sooner() {
+    let mut settings = Settings::default();
+    settings.health.probation = Micros::from_millis(40_000);
+    let mut world = World::new(settings);
+    world.down.insert(0);
+    world.pass(12);
+    world.down.clear();
+    world.pass(5);
+    let access = |w: &World| w.leader.rental_access(w.now, &"x".into());
+    assert_eq!(world.state("x"), ZoneState::Probation);
+    assert_eq!(access(&world), RentalAccess::Closed);
+    world.pass(20);
+    assert_eq!(world.state("x"), ZoneState::Probation);
+    assert_eq!(access(&world), RentalAccess::Open);
+}
+
 #[test]
 fn late_copies_and_stale_evidence_say_nothing() {
     let mut table = EvidenceTable::default();
--- a/crates/zone-failover/tests/settings.rs
+++ b/crates/zone-failover/tests/settings.rs
@@ -48,7 +48,7 @@
         ),
         (
             "[health]\nprobation = \"20m\"",
-            "most-probation (300 s) is below probation (1200 s)",
+            "most-probation (60 s) is below probation (1200 s)",
         ),
         (
             "[health]\nlost-share = 1.5",
