--- a/crates/zone-failover/tests/health.rs
+++ b/crates/zone-failover/tests/health.rs
@@ -186,6 +186,12 @@
 fn one_look_counts_for_two_seconds_at_most() {
     let mut health = ZoneHealth::default();
     let minute = Micros::from_millis(60_000);
-    health.observe(minute, Condition::Down, true, &HealthSettings::default());
-    assert_eq!(health.state(), ZoneState::Suspect);
+    let settings = HealthSettings::default();
+    health.observe(minute, Condition::Down, true, &settings);
+    health.observe(STEP, Condition::Down, true, &settings);
+    assert_eq!(
+        health.state(),
+        ZoneState::Suspect,
+        "2.5 s of the 4 that it takes"
+    );
 }
--- a/src/controller/tests/zones.rs
+++ b/src/controller/tests/zones.rs
@@ -7,6 +7,8 @@
 use crate::jobs::{Rank, Standing};
 use crate::store::keys;
 use crate::subsystems::Subsystems;
+use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use serde_json::{Value, json};
 
 const ON: &str = "[zone-failover]\nenabled = true\n";
@@ -658,3 +660,112 @@
     cut(&mut w, "x", false);
     finish(&mut w, &["j-1"]);
 }
+
+#[derive(Debug, Clone)]
+enum Event {
+    Cut(usize),
+    Restore(usize),
+    Crash(usize),
+    Start(usize),
+    Outage(f64),
+    Pass(f64),
+    /// Copies of old reports reach a node.
+    LateReports(usize),
+    /// Transactions of a node are carried out late.
+    LateWrites(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let zone = 0..3_usize;
+    let node = 0..3_usize;
+    prop_oneof![
+        3 => zone.clone().prop_map(Event::Cut),
+        2 => zone.prop_map(Event::Restore),
+        1 => node.clone().prop_map(Event::Crash),
+        2 => node.clone().prop_map(Event::Start),
+        1 => (1..20_u8).prop_map(|s| Event::Outage(f64::from(s))),
+        4 => (1..30_u8).prop_map(|s| Event::Pass(f64::from(s))),
+        1 => node.clone().prop_map(Event::LateReports),
+        1 => node.prop_map(Event::LateWrites),
+    ]
+}
+
+impl Event {
+    fn happen(&self, w: &mut World) {
+        const ZONES: [&str; 3] = ["x", "y", "z"];
+        match *self {
+            Event::Cut(zone) => cut(w, ZONES[zone], true),
+            Event::Restore(zone) => cut(w, ZONES[zone], false),
+            Event::Crash(node) => w.crash(node),
+            Event::Start(node) if w.nodes[node].core.is_none() => w.start(node),
+            Event::Start(_) => {}
+            Event::Outage(seconds) => {
+                w.store.down = true;
+                w.pass(seconds);
+                w.store.down = false;
+            }
+            Event::Pass(seconds) => w.pass(seconds),
+            Event::LateReports(node) => {
+                let copies: Vec<_> = w.copies.iter().step_by(7).take(30).cloned().collect();
+                for copy in &copies {
+                    // To a node that is down it does not come.
+                    w.late_copy(node, copy);
+                }
+            }
+            Event::LateWrites(node) => {
+                w.nodes[node].late = true;
+                w.pass(4.0);
+                w.nodes[node].late = false;
+                for (conds, ops) in std::mem::take(&mut w.held_txns) {
+                    w.store.txn(&conds, ops);
+                }
+            }
+        }
+    }
+}
+
+/// Shrinks a history that fails; its seed is kept beside the test.
+fn cases(cases: u32) -> ProptestConfig {
+    let chosen = std::env::var_os("PROPTEST_CASES").map(|_| ProptestConfig::default().cases);
+    let kept = FileFailurePersistence::WithSource("regressions");
+    ProptestConfig {
+        cases: chosen.unwrap_or(cases),
+        max_shrink_iters: 200,
+        failure_persistence: Some(Box::new(kept)),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(40))]
+
+    /// The world checks at each step that no task is on two machines and no limit is passed.
+    #[test]
+    fn whatever_zones_and_controllers_do_each_job_finishes_exactly_once(
+        events in prop::collection::vec(event(), 1..14),
+    ) {
+        let file = format!("{ON}[zone-failover.waves]\nmachines = 2\ntasks = 4\n");
+        let mut w = zones(3, &file);
+        (w.renting, w.copying) = (true, true);
+        let ids = ["j-1", "j-2", "j-3"];
+        for (id, tasks) in ids.iter().zip([9, 4, 6]) {
+            w.submit(&desc(id, tasks));
+        }
+        w.pass(4.0);
+        for event in &events {
+            event.happen(&mut w);
+        }
+        for zone in ["x", "y", "z"] {
+            cut(&mut w, zone, false);
+        }
+        for node in 0..3 {
+            Event::Start(node).happen(&mut w);
+        }
+        finish(&mut w, &ids);
+        for id in ids {
+            let key = keys::ended(&id.into());
+            let ends = w.store.log.iter().filter(|c| c.set.as_deref() == Some(key.as_str()));
+            prop_assert_eq!(ends.count(), 1, "{} finished more than once", id);
+        }
+    }
+}
