Zone failover: the loopback test waits for what it relies on, on addresses of its own

Cause: the loopback test failed once beside builds (zone never lost in 60 s). Traced with debug logs in 16 copies at a time: two of the four machines had not yet shown the holder's token when the zone was cut, so that only two were evidence, fewer than least-machines. In 1 of 48 further runs a port that was looked up and given back was taken by a connection before the controller bound it. Change: the test waits until each worker has shown its token; addresses are of the process alone. The test of waves bounds the first one strictly.

--- a/src/blocks/holder/mod.rs
+++ b/src/blocks/holder/mod.rs
@@ -434,8 +434,9 @@
         for j in self.jobs.values().filter(|j| j.wants_machines()) {
             *waiting.entry(&j.desc.class).or_default() += j.waiting.len();
         }
+        let bound_to_lost_zones = self.bound_to_lost_zones();
         let behind_others = self.jobs.values().filter(|j| !j.is_ready()).count();
-        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), behind_others, pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, late_ticks = self.late_ticks, "use");
+        tracing::info!(block = %self.block, term = %self.term, machines = self.machines.len(), up, booting, used, ?waiting, jobs = self.jobs.len(), behind_others, bound_to_lost_zones, pending_commands = self.pending_commands.len(), machines_compared = self.machines_compared, late_ticks = self.late_ticks, "use");
     }
 
     /// Each team's heaviness, for the sums; they are made anew from the machines'
--- a/src/blocks/holder/zones.rs
+++ b/src/blocks/holder/zones.rs
@@ -71,6 +71,18 @@
         self.zones.as_ref().map(state) == Some(ZoneState::Lost)
     }
 
+    /// Waiting tasks that may run nowhere but in a lost zone.
+    pub(super) fn bound_to_lost_zones(&self) -> u32 {
+        let Some(duties) = &self.zones else {
+            return 0;
+        };
+        let is_lost = |zone: &String| duties.situation.state(zone) == ZoneState::Lost;
+        let bound =
+            |job: &&Job| job.wants_machines() && job.desc.zone.as_ref().is_some_and(is_lost);
+        let waiting = self.jobs.values().filter(bound);
+        waiting.map(|job| job.waiting.len()).sum()
+    }
+
     pub(super) fn is_silent(&self, now: Micros, m: &Machine) -> bool {
         let least = self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE);
         match m.last_heard {
--- a/src/controller/tests/loopback/mod.rs
+++ b/src/controller/tests/loopback/mod.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use stand_ins::{Shared, Site, Start};
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 const FILE: &str = "[zone-failover]\nenabled = true\nevacuation-priority = 'rank_level'\n\
@@ -37,9 +38,18 @@
     serde_json::from_value(v).expect("settings")
 }
 
-fn free_address() -> String {
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    port.local_addr().expect("an address").to_string()
+/// An address that nobody else takes: each process has a loopback address of its own, and
+/// connections go out from another one, so that no port of theirs is in the way.
+fn own_address() -> String {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let process = std::process::id();
+    let (a, b, c) = (
+        1 + process / 62_500 % 200,
+        process / 250 % 250,
+        1 + process % 250,
+    );
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    format!("127.{a}.{b}.{c}:{port}")
 }
 
 /// A controller on a thread of its own, as a process would be.
@@ -123,7 +133,7 @@
     let lease = Micros::from_millis(12_000);
     let site = Shared::new(Site::new(small, lease));
     let (state, cloud) = (site.serve_store().await, site.serve_cloud().await);
-    let ports = [(); 2].map(|()| (free_address(), free_address()));
+    let ports = [(); 2].map(|()| (own_address(), own_address()));
     for n in 0..2 {
         start_controller(settings(n, &ports, &cloud, &state));
     }
@@ -141,6 +151,13 @@
     test.submit("j-2", "high", 8).await;
     test.wait("all of it runs", |site| site.running() == 16)
         .await;
+    // A machine that was never heard under the holder's token is no evidence of its zone.
+    test.wait("each worker has its token, and has shown it", |site| {
+        site.workers
+            .iter()
+            .all(|w| w.shown >= w.token && w.token.0 > 0)
+    })
+    .await;
     let in_x = |site: &Site| -> BTreeSet<String> {
         let there = (8..12).flat_map(|at| site.workers[at].running(""));
         there.map(str::to_owned).collect()
--- a/src/controller/tests/loopback/stand_ins.rs
+++ b/src/controller/tests/loopback/stand_ins.rs
@@ -127,14 +127,12 @@
         self.0.lock().expect("nobody panics with it")
     }
 
-    /// Starts to listen on a port of its own, and gives the address.
+    /// Starts to listen on an address of its own, and gives it.
     async fn listen(router: Router) -> String {
-        let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = port.local_addr().expect("an address");
-        drop(port);
-        let acceptor = TcpListener::new(address).bind().await;
+        let address = super::own_address();
+        let acceptor = TcpListener::new(address.clone()).bind().await;
         tokio::spawn(Server::new(acceptor).serve(Service::new(router)));
-        address.to_string()
+        address
     }
 
     pub async fn serve_store(&self) -> String {
@@ -214,6 +212,7 @@
 fn report_of(site: &mut Site, at: usize) -> Value {
     let worker = &mut site.workers[at];
     worker.sequence += 1;
+    worker.shown = worker.token;
     let tasks: Vec<Value> = worker
         .tasks
         .iter()
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -208,6 +208,8 @@
     pub session: u64,
     pub sequence: u64,
     pub token: FencingToken,
+    /// The token that its last report showed.
+    pub shown: FencingToken,
     pub tasks: BTreeMap<String, (u64, String, Option<String>)>,
     pub node: Option<usize>,
     pub cut: bool,
@@ -236,6 +238,7 @@
             session: 1,
             sequence: 0,
             token: FencingToken(0),
+            shown: FencingToken(0),
             tasks: BTreeMap::new(),
             node: None,
             cut: false,
--- a/src/controller/tests/zones.rs
+++ b/src/controller/tests/zones.rs
@@ -354,12 +354,13 @@
         }
         for _ in 0..800 {
             w.pass(0.1);
-            // One machine has room for a wave, and one more may be on its way.
+            let (rented, wave) = (u64::from(rented(&w)), wave(&w, "x"));
             assert!(
-                u64::from(rented(&w)) <= 2 * wave(&w, "x"),
-                "{crash} {:?}",
-                w.now
+                crash || wave > 1 || rented <= 1,
+                "{rented} for the two tasks of a wave"
             );
+            // One machine has room for a wave, and one more may be on its way.
+            assert!(rented <= 2 * wave, "{crash} {:?}", w.now);
         }
         assert!(rented(&w) > 0 && wave(&w, "x") > 1);
         finish(&mut w, &["j-1", "j-2", "j-3", "j-4"]);
