One sort key for a team's turn, one bound for silent peers; passes cost nothing where nothing is displaced

The queue's key stood again in the waves' order, and the bound of a silent peer and the longest gap between reports stood twice; each placement pass turned every queue round twice, also with zone failover off; three accessors had no caller. Change: Job::turn, Holder::longest_gap and the core's SILENT_PEER serve both; queues are reordered only if a job was displaced; the accessors are gone. No behaviour changes.

--- a/crates/zone-failover/src/leader.rs
+++ b/crates/zone-failover/src/leader.rs
@@ -147,11 +147,6 @@
         self.leadership.as_ref().is_some_and(|l| l.leader == leader)
     }
 
-    /// Messages that were dropped as late or repeated copies.
-    pub fn outdated_evidence(&self) -> u64 {
-        self.evidence.outdated()
-    }
-
     /// A new leadership goes on from the committed record.
     fn lead(&mut self, now: Micros, day: Micros, leader: Revision, record: Option<ZonesRecord>) {
         if self.leads(leader) {
@@ -331,13 +326,6 @@
             zone.last_seen = now;
         }
     }
-
-    /// The state of a zone, as it is decided here.
-    pub fn state(&self, id: &ZoneId) -> ZoneState {
-        self.zones
-            .get(id)
-            .map_or(ZoneState::Healthy, |zone| zone.health.state())
-    }
 }
 
 impl Zone {
--- a/src/blocks/holder/zones.rs
+++ b/src/blocks/holder/zones.rs
@@ -83,8 +83,13 @@
         waiting.map(|job| job.waiting.len()).sum()
     }
 
+    /// How long a machine that reports regularly may be unheard.
+    fn longest_gap(&self) -> Micros {
+        self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE)
+    }
+
     pub(super) fn is_silent(&self, now: Micros, m: &Machine) -> bool {
-        let least = self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE);
+        let least = self.longest_gap();
         match m.last_heard {
             Some(heard) => now.since(heard.max(self.listening).max(m.added)) > least,
             None => {
@@ -96,8 +101,7 @@
 
     /// Whether silence says something about machines: not if it may be our own.
     fn can_tell_of_zones(&self, now: Micros) -> bool {
-        let least = self.reports_of(SILENT_REPORTS).max(LEAST_SILENCE);
-        let listens = now.since(self.listening.max(self.granted)) > least;
+        let listens = now.since(self.listening.max(self.granted)) > self.longest_gap();
         let hears = now.since(self.last_report) < LEAST_SILENCE;
         listens && (hears || self.machines.is_empty())
     }
--- a/src/controller/core/health.rs
+++ b/src/controller/core/health.rs
@@ -5,7 +5,7 @@
 /// Without a reading for so long, a controller is unhealthy if a peer has one. Longer than
 /// [`STALE`], so that in an outage all have told that they lost the store, too.
 const UNHEALTHY_AFTER: Micros = Micros::from_millis(5_500);
-const SILENT_PEER: Micros = Micros::from_millis(5_000);
+pub(super) const SILENT_PEER: Micros = Micros::from_millis(5_000);
 
 impl Core {
     /// Whether users should come here: not while we lack the store and another
--- a/src/controller/core/zones.rs
+++ b/src/controller/core/zones.rs
@@ -1,13 +1,11 @@
 //! Zone failover, where it is on: what is seen of the zones, what the leader commits, and
 //! what the held blocks are told.
 
+use super::health::SILENT_PEER;
 use super::*;
 use crate::ids::ZoneId;
 use zone_failover::evidence::ZoneCounts;
 
-/// A controller that was not heard for so long is silent.
-const SILENT_PEER: Micros = Micros::from_millis(5_000);
-
 impl Core {
     /// Takes in what was read of the zones, and tells the held blocks.
     pub(super) fn sync_zones(&mut self, now: Micros) {
--- a/src/jobs/order.rs
+++ b/src/jobs/order.rs
@@ -3,6 +3,7 @@
 
 use super::{Job, Rank};
 use crate::clock::Micros;
+use std::cmp::Reverse;
 
 /// The order among jobs of one rank, the most urgent first. Jobs count and not tasks, so
 /// of two that can't both be served in time the one with less work left is the cheaper.
@@ -58,6 +59,11 @@
         }
     }
 
+    /// Its turn in its team, unless it starves: the most urgent job has the greatest.
+    pub fn turn(&self, day: Micros) -> (Rank, Reverse<(Urgency, Micros)>) {
+        (self.rank(), Reverse((self.urgency(day), self.at)))
+    }
+
     /// Core-seconds that its tasks still take, as its owner estimates.
     pub(super) fn work_left(&self) -> f64 {
         let tasks = f64::from(self.desc.tasks - self.done.len());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -205,11 +205,13 @@
     let ids = |(t, mut queue): (usize, Vec<(&JobId, &Job)>)| {
         queue.sort_by_cached_key(|(_, j)| {
             let starved = starved(j, scene.day).then_some(Reverse(j.last_start));
-            (starved, j.rank(), Reverse((j.urgency(scene.day), j.at)))
+            (starved, j.turn(scene.day))
         });
-        queue.reverse();
-        queue = scene.in_evacuation_order(queue, |(_, job)| job);
-        queue.reverse();
+        if scene.zones.is_some_and(ZoneDuties::has_displaced) {
+            queue.reverse();
+            queue = scene.in_evacuation_order(queue, |(_, job)| job);
+            queue.reverse();
+        }
         let queued = |(id, j): (&JobId, &Job)| Queued {
             id: id.clone(),
             request: j.desc.request(),
--- a/src/zones/duties.rs
+++ b/src/zones/duties.rs
@@ -5,7 +5,6 @@
 use crate::ids::{JobId, MachineId, ZoneId};
 use crate::jobs::Job;
 use crate::workers::AttemptKey;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use zone_failover::evacuation::{
@@ -91,6 +90,11 @@
         self.moves.retain(|_, m| m.until > now);
     }
 
+    /// Whether any job was displaced.
+    pub fn has_displaced(&self) -> bool {
+        !self.displaced.is_empty()
+    }
+
     /// The zone that a job was displaced from.
     pub fn displaced_from(&self, job: &JobId) -> Option<&ZoneId> {
         self.displaced.get(job)
@@ -193,7 +197,7 @@
             .collect();
         // As placement orders them where their priorities are alike. Guards against room that
         // is rented for one and taken by another, again and again.
-        waiting.sort_by_cached_key(|job| (job.rank(), Reverse((job.urgency(day), job.at))));
+        waiting.sort_by_cached_key(|job| job.turn(day));
         waiting.reverse();
         waiting
             .into_iter()
--- a/src/zones/mod.rs
+++ b/src/zones/mod.rs
@@ -128,11 +128,6 @@
         &self.situation
     }
 
-    /// Records that could not be read so far.
-    pub fn unreadable(&self) -> u64 {
-        self.unreadable
-    }
-
     /// Takes in what was read of the store.
     pub fn sync(&mut self, now: Micros, mirror: &Mirror) {
         let (revision, value) = match &mirror.zones {
