Review case 2: a job of one task with a low estimate never gets a machine

Cause: the number of waiting tasks that are worth an ordinary machine is rounded to the nearest number after it was scaled down, and one short task is rounded to none, however long it waits.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -464,6 +464,7 @@
         self.world, self.types, self.capacity = world, types, capacity
         self.machines = {}
         self.hires = {}
+        self.rental_requests = 0
         self.last = 0
         self.history = []
         self.calls = Bucket(2 * world.settings["cloud"]["rps"])
@@ -547,6 +548,7 @@
 
     async def rent(self, body):
         name, kind = body["hire"], (body["build"], body["yard"], body["loaners"])
+        self.rental_requests += 1
         if name in self.hires:
             return 200, {"rigs": self.hires[name]}
         count = min(body["howMany"], self.capacity.get(kind, 0), 50)
@@ -847,6 +849,7 @@
     def __init__(self, world):
         self.world = world
         self.on = {}
+        self.starts = set()
         self.done_tasks = set()
         self.cancelled_at = {}
         self.final = {}
@@ -860,6 +863,7 @@
         hand, job_id = key[0], key[0].rsplit("/", 1)[0]
         job = self.world.jobs[job_id]
         self.world.record("start", rig=worker.name, hand=hand, attempt=key[1])
+        self.starts.add(hand)
         elsewhere = [rig for rig in self.on.get(hand, {}) if rig != worker.name]
         if elsewhere:
             self.breaks("ran_twice", hand=hand, rig=worker.name, still_on=elsewhere)
@@ -1167,6 +1171,44 @@
     }
 
 
+SANGRE_TYPES = [
+    {"name": "colibri", "cores": 4.0, "cards": 0.0, "memGb": 16.0, "cacheGb": 80.0,
+     "pullGbPerS": 0.5, "price": 0.25, "lowPrice": 0.06, "readyS": 35.0,
+     "yards": ["escazu-rack", "heredia-dc"]},
+    {"name": "jaguar", "cores": 16.0, "cards": 0.0, "memGb": 64.0, "cacheGb": 80.0,
+     "pullGbPerS": 0.8, "price": 0.93, "lowPrice": 0.22, "readyS": 25.0,
+     "yards": ["escazu-rack", "heredia-dc"]},
+]
+
+SANGRE_CAPACITY = {
+    ("colibri", "escazu-rack", False): 7, ("colibri", "escazu-rack", True): 6,
+    ("colibri", "heredia-dc", False): 10, ("colibri", "heredia-dc", True): 8,
+    ("jaguar", "escazu-rack", False): 2, ("jaguar", "escazu-rack", True): 2,
+    ("jaguar", "heredia-dc", False): 2, ("jaguar", "heredia-dc", True): 3,
+}
+
+
+def sangre_settings():
+    """The settings of the second operator, by the brief and the site file."""
+    settings = derwent_settings()
+    settings["zones"] = ["escazu-rack", "heredia-dc"]
+    for index, team in enumerate(settings["teams"]):
+        team["name"] = f"plataforma-{index:02d}"
+    settings["objectives"] = [
+        {"kind": "wait", "class": "slot-match", "within_s": 20.0, "share": 0.96},
+        {"kind": "wait", "class": "slot-match", "within_s": 40.0, "share": 0.96},
+        {"kind": "finished", "class": "slot-match", "within_s": 50.0, "share": 0.96},
+        {"kind": "deadline", "class": "reminder-send", "share": 0.9, "times": 1.0},
+        {"kind": "guarantee", "within_s": 15.0, "share": 0.94},
+    ]
+    settings["workers"].update({"report_s": 3.0, "lease_s": 45.0, "cancel_s": 65.0})
+    settings["state"] = {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 48}
+    settings["cloud"] = {"rps": 4.0, "list_lag_s": 6.0}
+    settings["limits"]["sockets"] = 3000
+    settings["clock_off_ms"] = 25.0
+    return settings
+
+
 def main(case, make_world, record_path, limit_s=115):
     """Runs a case and exits with 1 if a rule was broken, 0 if all held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
