--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -321,7 +321,9 @@
                 continue
             ended = [lease for lease, (_, until) in self.leases.items() if now() > until]
             for lease in ended:
-                await self.end_lease(lease)
+                # The lease may have been revoked or renewed meanwhile.
+                if lease in self.leases and now() > self.leases[lease][1]:
+                    await self.end_lease(lease)
 
     async def end_lease(self, lease):
         del self.leases[lease]
@@ -540,7 +542,9 @@
             return await self.rent(body)
         if path == "/machines/return":
             for name in body["rigs"]:
-                if self.machines.pop(name, None):
+                if machine := self.machines.pop(name, None):
+                    kind = (machine["build"], machine["yard"], machine["spot"])
+                    self.capacity[kind] = self.capacity.get(kind, 0) + 1
                     self.world.record("returned", rig=name)
                     self.world.workers[name].power_off()
             return 200, {}
@@ -904,18 +908,19 @@
         for hand in list(self.on):
             self.check_cancelled(hand.rsplit("/", 1)[0], "is on a machine")
 
-    def told(self, job_id, standing, by_abort=False):
+    def told(self, job_id, standing, asked_at):
+        """A user was told a job's state, in the answer to a request sent at `asked_at`."""
         if standing == "cancelled" and job_id not in self.cancelled_at:
             self.cancelled_at[job_id] = now()
         if standing == "done":
             tasks = {f"{job_id}/{i}" for i in range(self.world.jobs[job_id]["hands"])}
             if not tasks <= self.done_tasks:
                 self.breaks("not_done", job=job_id, missing=sorted(tasks - self.done_tasks)[:5])
-        before = self.final.get(job_id)
-        if before and before != standing:
+        before, told_at = self.final.get(job_id, (standing, 0))
+        if before != standing and asked_at > told_at:
             self.breaks("went_back", job=job_id, before=before, now=standing)
-        if standing in ("done", "cancelled"):
-            self.final[job_id] = standing
+        if standing in ("done", "cancelled") and job_id not in self.final:
+            self.final[job_id] = (standing, now())
 
 
 # ---------------------------------------------------------------- controllers and users
@@ -1092,9 +1097,10 @@
         self.jobs[job["id"]], self.run_s[job["id"]] = job, run_s
         until = now() + 60
         while now() < until:
+            asked_at = now()
             status, answer = await self.ask("POST", "/v1/jobs", job, 5.0)
             if status in (200, 201):
-                self.judge.told(job["id"], answer["standing"])
+                self.judge.told(job["id"], answer["standing"], asked_at)
                 return now()
             if status in (400, 422):
                 raise CannotRun(f"{job['id']} was refused with {status}")
@@ -1102,9 +1108,10 @@
         raise CannotRun(f"{job['id']} was not accepted")
 
     async def poll(self, job_id, node=None):
+        asked_at = now()
         status, answer = await self.ask("GET", f"/v1/jobs/{job_id}", None, 2.0, node)
         if status == 200:
-            self.judge.told(job_id, answer["standing"])
+            self.judge.told(job_id, answer["standing"], asked_at)
             return answer["standing"]
         if status == 404:
             self.judge.breaks("forgotten", job=job_id)
@@ -1112,9 +1119,10 @@
 
     async def cancel(self, job_id):
         while True:
+            asked_at = now()
             status, answer = await self.ask("POST", f"/v1/jobs/{job_id}/abort", None, 5.0)
             if status == 200:
-                self.judge.told(job_id, answer["standing"], by_abort=True)
+                self.judge.told(job_id, answer["standing"], asked_at)
                 return answer["standing"]
             await asyncio.sleep(1.0)
 
