--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -303,7 +303,7 @@
         self.log = []
         self.leases = {}
         self.last_lease = 0
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.requests = Bucket(limits["rps"])
         self.writes = Bucket(limits["write_rps"])
         self.server = HttpServer(self.handle)
@@ -337,8 +337,8 @@
 
     async def notify(self):
         del self.log[:-10_000]
-        async with self.changed:
-            self.changed.notify_all()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
 
     def go_down(self):
         self.is_down = True
@@ -404,6 +404,7 @@
         prefix, since = query.get("starts", ""), int(query["since"])
         until = now() + min(int(query.get("waitMs", 0)), 60_000) / 1000
         while True:
+            changed = self.changed
             if self.log and since < self.log[0][0] - 1 and len(self.log) >= 10_000:
                 return 410, {}
             events = [
@@ -414,11 +415,10 @@
             left = until - now()
             if (events or left <= 0) and not self.is_down:
                 return 200, {"ledger": self.revision, "log": events}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), max(left, 0.05))
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(changed.wait(), max(left, 0.05))
+            except asyncio.TimeoutError:
+                pass
 
     async def transact(self, body):
         conditions, changes = body.get("if") or [], body.get("then") or []
@@ -452,8 +452,11 @@
                 else:
                     continue
                 self.log.append((self.revision, event))
+        # The revision of this transaction: others may follow while the watches are told.
+        revision = self.revision
+        if changes:
             await self.notify()
-        return 200, {"ledger": self.revision}
+        return 200, {"ledger": revision}
 
 
 # ---------------------------------------------------------------- cloud
