--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -470,6 +471,7 @@
         self.machines = {}
         self.hires = {}
         self.rental_requests = 0
+        self.is_down = False
         self.last = 0
         self.history = []
         self.calls = Bucket(2 * world.settings["cloud"]["rps"])
@@ -532,6 +534,8 @@
 
     async def handle(self, method, path, query, body):
         await asyncio.sleep(random.uniform(0.05, 0.2))
+        if self.is_down:
+            return 503, {"error": "trouble"}
         if not self.calls.take():
             return 429, {}
         body = json.loads(body) if body else {}
@@ -980,19 +984,20 @@
         self.world.record("controller goes on", label=self.label)
 
 
-USED_PORTS = set()
+NEXT_PORT = 20_000
 
 
 def free_port():
-    import socket
-
+    """A free port below those that the system gives to the stand-ins' own listeners."""
+    global NEXT_PORT
     while True:
+        NEXT_PORT += 1
         with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in USED_PORTS:
-            USED_PORTS.add(port)
-            return port
+            try:
+                probe.bind((HOST, NEXT_PORT))
+                return NEXT_PORT
+            except OSError:
+                pass
 
 
 class World:
