--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -1232,6 +1232,9 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: sys.exit(2))
     world = make_world(os.environ.get("RECORD", record_path))
+    # Whatever hangs here: the script and the controllers end.
+    signal.signal(signal.SIGALRM, lambda *_: (world.close(), os._exit(2)))
+    signal.alarm(int(limit_s) + 4)
     code = 2
     try:
 
