Heartbeats are ordered by token and position, also across worker restarts

Cause, shown by the record of the case: heartbeats were compared by (agent epoch, sequence) alone.

What the code took for granted: "a higher position was created later". The places that relied on it, all changed: OwnedPartition::receive_heartbeat, handle_direct_command_reply, Machine::has_restarted, and the choice of the agent epoch that direct commands are addressed to (a late copy of a higher epoch made all of them fail for good). Also checked: reconcile_unreported and may_reap (they rely on accepted messages only), failover recovery (is_unconfirmed ends with an accepted message), unacknowledged responses (they counted tokens one by one; a worker that shows the token of any unacknowledged response is reached), and the bound of the token's epoch, which was clamped: a machine with fewer than 1,024 tokens left is now released once idle.

Fix: a heartbeat is newer only if its token is not below that of the newest accepted one, and its token or position is higher. This proves the order, because each direct command, and each response to a heartbeat with an outdated token, carries a token that no message carried before: a restarted worker starts without a token, so its first one is above all of those in heartbeats from before the restart. A heartbeat with a higher position and a lower token changes nothing; it is answered with a raised token and no commands. Nothing is stored, and the wire formats are the same.

--- a/crates/rockdeal-types/src/ids.rs
+++ b/crates/rockdeal-types/src/ids.rs
@@ -117,6 +117,9 @@
 const EPOCH_BITS: u32 = 20;
 
 impl FencingToken {
+    /// The largest epoch within a term.
+    pub const MAX_EPOCH: u64 = (1 << EPOCH_BITS) - 1;
+
     /// Combines a term and an epoch. An epoch that does not fit in 20 bits is replaced by the
     /// largest one that does.
     ///
@@ -124,7 +127,7 @@
     /// another process. A token of a higher term is above every token of a lower one, whatever
     /// the epochs are.
     pub fn of(term: Term, epoch: u64) -> FencingToken {
-        FencingToken((term.0 << EPOCH_BITS) | epoch.min((1 << EPOCH_BITS) - 1))
+        FencingToken((term.0 << EPOCH_BITS) | epoch.min(FencingToken::MAX_EPOCH))
     }
 }
 
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -28,4 +28,5 @@
 mod starvation;
 mod store_limits;
 mod store_outages;
+mod worker_restarts;
 mod zone_failover;
--- a/src/partition_owner/direct_commands.rs
+++ b/src/partition_owner/direct_commands.rs
@@ -122,7 +122,7 @@
         } else if !machine.shows_term(&heartbeat) {
             machine.record_stale_heartbeat(&heartbeat);
             machine.cancel_probe();
-        } else if machine.is_newer(&heartbeat) {
+        } else if machine.order(&heartbeat).is_newer() {
             self.reconcile_heartbeat(now, &heartbeat);
         }
         self.direct_commands.request(id);
--- a/src/partition_owner/heartbeats.rs
+++ b/src/partition_owner/heartbeats.rs
@@ -1,22 +1,23 @@
 //! Handling of workers' heartbeats: which heartbeats are accepted, how they update the owner's
 //! state, and how they are answered.
 //!
-//! A heartbeat is accepted only if it is newer than all known ones and shows the fencing token
-//! of this owner's term.
+//! A heartbeat is accepted only if it is known to be newer than all accepted ones and shows a
+//! fencing token of this owner's term.
 
 use super::OwnedPartition;
 use crate::clock::Micros;
 use crate::fairness::Resources;
-use crate::workers::{CommandRoute, Heartbeat, HeartbeatResponse};
+use crate::workers::{CommandRoute, Heartbeat, HeartbeatOrder, HeartbeatResponse};
 
 /// Result of checking a heartbeat.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum HeartbeatVerdict {
     /// The heartbeat must not get a valid response.
     Rejected,
-    /// The heartbeat does not show this owner's term yet. The response carries the fencing
-    /// token and no commands, so that the next heartbeat shows the term.
-    BeforeTerm,
+    /// The heartbeat does not show this owner's term yet, or a lower token than an accepted
+    /// heartbeat although its position is higher. The response carries a raised fencing token
+    /// and no commands, so that the next heartbeat is known to be newer.
+    TokenOutdated,
     /// The heartbeat was reconciled. The response carries commands.
     Accepted,
 }
@@ -39,19 +40,20 @@
         }
         let is_accepted = match self.receive_heartbeat(now, heartbeat) {
             HeartbeatVerdict::Rejected => return None,
-            HeartbeatVerdict::BeforeTerm => false,
+            HeartbeatVerdict::TokenOutdated => false,
             HeartbeatVerdict::Accepted => true,
         };
         if is_accepted {
             self.refill_machine(now, wall_clock, fleet, &heartbeat.machine);
         }
         let machine = self.machines.get_mut(&heartbeat.machine)?;
-        machine.record_response(now, heartbeat);
         let commands = if is_accepted {
             machine.commands(CommandRoute::Response)
         } else {
+            machine.raise_token_for_response();
             Vec::new()
         };
+        machine.record_response(now, heartbeat);
         Some(HeartbeatResponse {
             fencing_token: machine.fencing_token(),
             commands,
@@ -64,7 +66,8 @@
         let Some(machine) = machine.filter(|machine| machine.is_active()) else {
             return HeartbeatVerdict::Rejected;
         };
-        if !machine.is_newer(heartbeat) {
+        let order = machine.order(heartbeat);
+        if order == HeartbeatOrder::Stale {
             // A delayed or duplicated heartbeat does not even show that the machine is alive.
             machine.record_stale_heartbeat(heartbeat);
             if machine.needs_probe() {
@@ -81,9 +84,21 @@
         if !machine.used {
             self.machine_writes.request_use_write();
         }
-        if !machine.shows_term(heartbeat) {
+        match order {
+            HeartbeatOrder::NewerAfterRestart => {
+                tracing::info!(partition = %self.ownership.partition(), machine = %heartbeat.machine, "worker restarted");
+            }
+            HeartbeatOrder::Ambiguous => {
+                tracing::info!(partition = %self.ownership.partition(), machine = %heartbeat.machine, "heartbeat of a restarted worker or from before its restart");
+            }
+            HeartbeatOrder::Newer | HeartbeatOrder::Stale => {}
+        }
+        if !order.is_newer() || !machine.shows_term(heartbeat) {
             machine.record_stale_heartbeat(heartbeat);
-            return HeartbeatVerdict::BeforeTerm;
+            if machine.needs_probe() {
+                self.direct_commands.request(&heartbeat.machine);
+            }
+            return HeartbeatVerdict::TokenOutdated;
         }
         machine.record_heartbeat(now);
         self.liveness.record_heartbeat(now);
--- a/src/workers/agent.rs
+++ b/src/workers/agent.rs
@@ -1,31 +1,7 @@
 //! The state of a machine's worker agent: its current epoch and its newest accepted heartbeat.
 
 use super::Heartbeat;
-
-/// A heartbeat's position in the order in which a worker creates its heartbeats.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub(super) struct HeartbeatPosition {
-    /// The agent epoch; 0 if no heartbeat has been accepted yet.
-    agent_epoch: u64,
-    /// The heartbeat's number in its agent epoch.
-    sequence: u64,
-}
-
-impl HeartbeatPosition {
-    /// Whether a heartbeat has been accepted.
-    pub(super) fn is_known(self) -> bool {
-        self.agent_epoch > 0
-    }
-}
-
-impl From<&Heartbeat> for HeartbeatPosition {
-    fn from(heartbeat: &Heartbeat) -> Self {
-        HeartbeatPosition {
-            agent_epoch: heartbeat.agent_epoch,
-            sequence: heartbeat.heartbeat_sequence,
-        }
-    }
-}
+use super::heartbeat_order::HeartbeatPosition;
 
 /// How a heartbeat changes the known agent epoch of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,6 +81,9 @@
     pub(super) fn advance(&mut self, heartbeat: &Heartbeat) -> EpochChange {
         let known = self.position.agent_epoch;
         self.position = HeartbeatPosition::from(heartbeat);
+        // Guards against commands to the epoch of a delayed heartbeat from before a restart, which
+        // may be higher than the restarted worker's epoch. The worker would reject all of them.
+        self.last_stale_agent_epoch = 0;
         self.has_sent_heartbeat = true;
         self.is_unconfirmed = false;
         if heartbeat.agent_epoch == known {
@@ -126,6 +105,7 @@
     /// on, even if their position is lower than that of heartbeats from before the restart.
     pub(super) fn record_restart(&mut self, heartbeat: &Heartbeat) {
         self.position = HeartbeatPosition::from(heartbeat);
+        self.last_stale_agent_epoch = 0;
         self.needs_probe = false;
     }
 }
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -38,9 +38,13 @@
     /// Records that a direct command is about to be sent and that the next one may be sent from
     /// `next_at` on. `delivers_token` says whether the command is sent to make the owner's fencing
     /// token known to the worker after a failover.
+    ///
+    /// Raises the fencing token under which the command is to be sent: the worker may have
+    /// restarted, and no heartbeat from before the restart must show the token of the command.
     pub fn record_direct_command_sent(&mut self, delivers_token: bool, next_at: Micros) {
         self.direct_commands
-            .record_sent(self.agent.position(), delivers_token, next_at);
+            .record_sent(self.known_heartbeat(), delivers_token, next_at);
+        self.fencing.raise();
     }
 
     /// Records that the worker replied to a direct command.
--- a/src/workers/direct_commands.rs
+++ b/src/workers/direct_commands.rs
@@ -1,16 +1,16 @@
 //! The channel on which an owner sends commands directly to a machine's worker, in addition to
 //! the responses to the worker's heartbeats. At most one direct command to a machine is in flight.
 
-use super::agent::HeartbeatPosition;
 use super::fencing::MAX_UNACKNOWLEDGED;
+use super::heartbeat_order::KnownHeartbeat;
 use crate::clock::Micros;
 
 /// The last direct command that was sent.
 #[derive(Debug, Clone, Copy)]
 struct LastDirectCommand {
-    /// Position of the newest heartbeat that was accepted before the command was sent. The reply
-    /// is newer, unless the worker restarted.
-    known_position: HeartbeatPosition,
+    /// The newest heartbeat that was known before the command was sent. The reply was created
+    /// after it.
+    known_heartbeat: KnownHeartbeat,
     /// Whether neither a reply nor a failure of the command has been recorded yet.
     is_in_flight: bool,
 }
@@ -45,11 +45,10 @@
         self.last.is_some_and(|last| last.is_in_flight)
     }
 
-    /// Returns the position of the newest heartbeat that was accepted before the last direct
-    /// command was sent.
-    pub(super) fn known_position(&self) -> HeartbeatPosition {
+    /// Returns the newest heartbeat that was known before the last direct command was sent.
+    pub(super) fn known_heartbeat(&self) -> KnownHeartbeat {
         self.last
-            .map_or(HeartbeatPosition::default(), |last| last.known_position)
+            .map_or(KnownHeartbeat::default(), |last| last.known_heartbeat)
     }
 
     /// Returns the instant before which no direct command is sent.
@@ -76,12 +75,12 @@
     /// Records that a direct command is sent and that the next one may be sent from `next_at` on.
     pub(super) fn record_sent(
         &mut self,
-        known_position: HeartbeatPosition,
+        known_heartbeat: KnownHeartbeat,
         delivers_token: bool,
         next_at: Micros,
     ) {
         self.last = Some(LastDirectCommand {
-            known_position,
+            known_heartbeat,
             is_in_flight: true,
         });
         self.token_commands += u32::from(delivers_token);
--- a/src/workers/fencing.rs
+++ b/src/workers/fencing.rs
@@ -2,10 +2,15 @@
 //!
 //! A worker drops every command whose fencing token is lower than the highest token that it has
 //! seen. Raising the token therefore invalidates all commands that were sent before. Once a
-//! heartbeat shows the raised token, none of them can take effect any more.
+//! heartbeat shows the raised token, none of them can take effect any more, and the heartbeat was
+//! created after the token was raised.
 
 use crate::ids::{FencingToken, Term};
 
+/// Number of tokens of a term that are kept in reserve. A machine with fewer left is released once
+/// it is idle, because commands to it could no longer be fenced.
+const RESERVED_TOKENS: u64 = 1 << 10;
+
 /// Number of consecutive unacknowledged responses or commands, or of direct commands that could
 /// not be sent, after which a machine counts as unreachable.
 pub(super) const MAX_UNACKNOWLEDGED: u32 = 3;
@@ -17,10 +22,13 @@
     term: Term,
     /// The epoch within the term. It is raised to fence the owner's own delayed commands.
     fencing_epoch: u64,
-    /// The highest token that a heartbeat has shown.
-    highest_seen_token: FencingToken,
-    /// Number of consecutive responses to heartbeats that did not show the current token.
+    /// The lowest token that a heartbeat newer than all accepted ones can show: the token of the
+    /// newest accepted one, or the token that was raised since because the worker restarted.
+    newest_token: FencingToken,
+    /// Number of responses since a heartbeat last showed the token of one of them.
     unacknowledged_responses: u32,
+    /// The token of the first of these responses.
+    first_unacknowledged_token: FencingToken,
     /// The token that fences an unanswered direct command, which may still arrive until a
     /// heartbeat shows this token. `None` if no such command may arrive.
     pending_fence_token: Option<FencingToken>,
@@ -32,8 +40,9 @@
         Fencing {
             term,
             fencing_epoch: 0,
-            highest_seen_token: FencingToken(0),
+            newest_token: FencingToken(0),
             unacknowledged_responses: 0,
+            first_unacknowledged_token: FencingToken(0),
             pending_fence_token: None,
         }
     }
@@ -44,6 +53,7 @@
     }
 
     /// Raises the token, which fences all commands sent before, including delayed direct commands.
+    /// A heartbeat that shows the raised token was created after this call.
     /// This needs no access to the key-value store: the term belongs to this owner alone, and so
     /// do the epochs within the term.
     pub(super) fn raise(&mut self) -> FencingToken {
@@ -72,15 +82,25 @@
         token >= FencingToken::of(self.term, 0)
     }
 
-    /// Whether a token is lower than the highest one that was shown before.
+    /// Returns the lowest token that a heartbeat newer than all accepted ones can show.
+    pub(super) fn newest_token(&self) -> FencingToken {
+        self.newest_token
+    }
+
+    /// Whether a token is lower than a heartbeat newer than all accepted ones can show.
     pub(super) fn is_regression(&self, token: FencingToken) -> bool {
-        self.highest_seen_token > FencingToken(0) && token < self.highest_seen_token
+        token < self.newest_token
+    }
+
+    /// Whether so few tokens of the term are left that the machine has to be released.
+    pub(super) fn is_nearly_exhausted(&self) -> bool {
+        self.fencing_epoch + RESERVED_TOKENS > FencingToken::MAX_EPOCH
     }
 
     /// Records the token of an accepted heartbeat.
     pub(super) fn record_seen(&mut self, token: FencingToken) {
-        self.highest_seen_token = self.highest_seen_token.max(token);
-        if token >= self.token() {
+        self.newest_token = self.newest_token.max(token);
+        if token >= self.first_unacknowledged_token {
             self.unacknowledged_responses = 0;
         }
         if self
@@ -91,22 +111,26 @@
         }
     }
 
-    /// Records that the worker restarted with this token, having forgotten any higher one, and
-    /// fences the commands sent before.
-    pub(super) fn record_restart(&mut self, token: FencingToken) {
-        self.highest_seen_token = token;
+    /// Records that the worker restarted and forgot its token. Fences the commands sent before,
+    /// and heartbeats from before the restart: only those that show the raised token are newer.
+    pub(super) fn record_restart(&mut self) {
         self.fence_delayed_commands();
+        self.newest_token = self.token();
     }
 
     /// Records a response to a heartbeat with this token.
     pub(super) fn record_response(&mut self, token: FencingToken) {
-        if token < self.token() {
-            self.unacknowledged_responses += 1;
+        if token >= self.token() {
+            return;
+        }
+        if self.unacknowledged_responses == 0 {
+            self.first_unacknowledged_token = self.token();
         }
+        self.unacknowledged_responses += 1;
     }
 
-    /// Whether at least [`MAX_UNACKNOWLEDGED`] consecutive responses went to heartbeats that did
-    /// not show the current token, so that responses do not seem to arrive.
+    /// Whether no heartbeat has shown the token of any of at least [`MAX_UNACKNOWLEDGED`]
+    /// responses, so that responses do not seem to arrive.
     pub(super) fn is_unacknowledged(&self) -> bool {
         self.unacknowledged_responses >= MAX_UNACKNOWLEDGED
     }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -154,10 +154,10 @@
         self.idle_since
     }
 
-    /// Whether the machine is neither cordoned nor quarantined. Other conditions may still forbid
-    /// launching tasks on it.
+    /// Whether the machine is neither cordoned nor quarantined, and commands to it can be fenced.
+    /// Other conditions may still forbid launching tasks on it.
     pub fn is_schedulable(&self) -> bool {
-        self.schedulability.is_open()
+        self.schedulability.is_open() && !self.fencing.is_nearly_exhausted()
     }
 
     /// Cordons the machine because it is silent: no tasks are launched on it until a heartbeat is
--- a/src/workers/machine/tests.rs
+++ b/src/workers/machine/tests.rs
@@ -34,3 +34,21 @@
     }
     assert!(machine.is_unreachable(), "no heartbeat showed the launch");
 }
+
+/// Guards against commands that can't be fenced any more, because each token of a term is used once
+/// and a machine may be kept for the whole term.
+#[test]
+fn a_machine_whose_fencing_tokens_run_out_gets_no_more_tasks() {
+    let mut machine = machine();
+    let first = machine.fencing_token();
+    while machine.is_schedulable() {
+        machine.raise_token_for_response();
+    }
+    let last = machine.fencing_token();
+    assert!(first < last);
+    machine.raise_token_for_response();
+    assert!(
+        last < machine.fencing_token(),
+        "some tokens are left to fence the commands to its last tasks"
+    );
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,9 +2,10 @@
 //! a controller keeps of each machine in a partition that it owns.
 //!
 //! The controller that owns a machine's partition is called the machine's owner. A heartbeat is
-//! accepted if it is newer than every heartbeat accepted before and shows a fencing token of the
-//! owner's term or of a later one; any other heartbeat is stale. Only accepted heartbeats change
-//! what the owner knows of the attempts on a machine.
+//! accepted if it is known to be newer than every heartbeat accepted before, also if the worker
+//! may have restarted (see [`HeartbeatOrder`]), and shows a fencing token of the owner's term or of
+//! a later one; any other heartbeat is stale. Only accepted heartbeats change what the owner knows
+//! of the attempts on a machine.
 //!
 //! This module defines the messages of the worker protocol and [`Machine`]. It tracks which
 //! commands may still reach a worker and which attempts are guaranteed to have ended. It does not
@@ -16,6 +17,7 @@
 mod direct_commands;
 mod failures;
 mod fencing;
+mod heartbeat_order;
 mod liveness;
 mod machine;
 mod protocol;
@@ -28,6 +30,7 @@
 pub use attempt::{Attempt, AttemptKey, TaskDemand};
 pub use commands::CommandRoute;
 pub use failures::JobFailures;
+pub use heartbeat_order::HeartbeatOrder;
 pub use machine::Machine;
 pub use protocol::{
     AttemptPhase, DirectCommand, ExitCause, Heartbeat, HeartbeatResponse, TaskStatus, WorkerCommand,
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -3,7 +3,8 @@
 //! An attempt is removed only when it is guaranteed not to run and not to be started later by a
 //! delayed command.
 
-use super::agent::{EpochChange, HeartbeatPosition};
+use super::agent::EpochChange;
+use super::heartbeat_order::{HeartbeatOrder, KnownHeartbeat};
 use super::{Attempt, AttemptKey, AttemptPhase, ExitCause, Heartbeat, Machine, TaskStatus};
 use crate::clock::Micros;
 use crate::ids::{FencingToken, TaskId};
@@ -24,10 +25,19 @@
 }
 
 impl Machine {
-    /// Whether a heartbeat is newer than every heartbeat accepted before. An isolated network may
-    /// hold heartbeats back and deliver them late, with outdated task lists.
-    pub fn is_newer(&self, heartbeat: &Heartbeat) -> bool {
-        HeartbeatPosition::from(heartbeat) > self.agent.position()
+    /// Returns how a heartbeat relates to the newest accepted one. An isolated network may hold
+    /// heartbeats back and deliver them late, with outdated task lists, also after a restart of the
+    /// worker.
+    pub fn order(&self, heartbeat: &Heartbeat) -> HeartbeatOrder {
+        self.known_heartbeat().order(heartbeat)
+    }
+
+    /// Returns what is known of the newest accepted heartbeat.
+    pub(super) fn known_heartbeat(&self) -> KnownHeartbeat {
+        KnownHeartbeat {
+            position: self.agent.position(),
+            token: self.fencing.newest_token(),
+        }
     }
 
     /// Whether a heartbeat shows this owner's term or a later one. No other heartbeat is accepted:
@@ -37,8 +47,8 @@
         self.fencing.is_of_term(heartbeat.fencing_token)
     }
 
-    /// Records a stale heartbeat: one that shows an earlier term, or one that is not newer than
-    /// every heartbeat accepted before.
+    /// Records a stale heartbeat: one that shows an earlier term, or one that is not known to be
+    /// newer than every heartbeat accepted before.
     pub fn record_stale_heartbeat(&mut self, heartbeat: &Heartbeat) {
         self.agent.record_stale(heartbeat);
         if self.fencing.is_regression(heartbeat.fencing_token) {
@@ -57,12 +67,17 @@
         self.fencing.record_response(heartbeat.fencing_token);
     }
 
+    /// Raises the fencing token for a response to a heartbeat that does not show the newest known
+    /// token. The worker may have restarted, so the response must carry a token that no heartbeat
+    /// from before the restart can show.
+    pub fn raise_token_for_response(&mut self) {
+        self.fencing.raise();
+    }
+
     /// Whether a reply to a direct command shows that the worker restarted. The worker creates the
-    /// reply after the command was sent. If the reply is not newer than the newest heartbeat that
-    /// was known when the command was sent, the worker must have restarted.
+    /// reply after the command was sent, and so after the newest heartbeat that was known then.
     pub fn has_restarted(&self, reply: &Heartbeat) -> bool {
-        self.agent.position().is_known()
-            && HeartbeatPosition::from(reply) <= self.direct_commands.known_position()
+        self.direct_commands.known_heartbeat().shows_restart(reply)
     }
 
     /// Records that the worker restarted and forgot its fencing token, as its reply to a direct
@@ -71,14 +86,18 @@
     pub fn record_restart(&mut self, now: Micros, reply: &Heartbeat) {
         self.liveness.record_epoch_start(now);
         self.agent.record_restart(reply);
-        self.fencing.record_restart(reply.fencing_token);
+        self.fencing.record_restart();
         self.images.clear();
     }
 
     /// Updates the machine from an accepted heartbeat and returns the changes of its attempts. The
-    /// caller must have checked that the heartbeat is newer than every one accepted before and
-    /// shows this owner's term.
+    /// caller must have checked that the heartbeat is newer than every one accepted before, by
+    /// [`Machine::order`], and shows this owner's term.
     pub fn reconcile(&mut self, now: Micros, heartbeat: &Heartbeat) -> Vec<AttemptEvent> {
+        if self.order(heartbeat) == HeartbeatOrder::NewerAfterRestart {
+            self.liveness.record_epoch_start(now);
+            self.images.clear();
+        }
         self.reconcile_worker(now, heartbeat);
         let epoch_ended = self.reconcile_agent_epoch(now, heartbeat);
         let notice = heartbeat.termination_notice_s;
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -36,7 +36,9 @@
     let events = machine.reconcile(Micros(1), &heartbeat("m", 2, 9, FencingToken(0), &[]));
     assert_eq!(events, vec![AttemptEvent::Lost(key)]);
     assert!(
-        !machine.is_newer(&heartbeat("m", 1, 50, FencingToken(0), &[])),
+        !machine
+            .order(&heartbeat("m", 1, 50, FencingToken(0), &[]))
+            .is_newer(),
         "a late heartbeat of the old epoch"
     );
 }
