A worker's lease counts from the last message that may hide a restart

Cause, shown by the record of the case: the restarted worker had counted past the known position (2) before a probe reached it (4), and the probe made the owner's token known to it again. Nothing showed the restart, so the lease was counted from the answer before it. The new worker's lease counts from its start.

What the code took for granted: "an accepted message of the known epoch, above the known position, comes from the same process".

Fix: only an attempt that an accepted heartbeat has shown and that a later one still shows proves that the worker did not restart. Without this proof the lease counts as begun no earlier than the accepted message, or than the loss of a direct command that launched attempts, and it is not taken for expired while such a command is in flight. On busy machines, and for answered heartbeats, nothing changes.

--- a/src/controller/tests/simulation/controller.rs
+++ b/src/controller/tests/simulation/controller.rs
@@ -23,6 +23,9 @@
 /// Request identifier of the heartbeats that workers send.
 const HEARTBEAT_REQUEST: u64 = 1;
 
+/// Time in seconds until a worker that cannot connect to a controller tries the next one.
+const CONNECT_RETRY_INTERVAL_S: f64 = 1.0;
+
 /// A controller of the simulation.
 pub struct ControllerNode {
     /// State of the controller's process. `None`: the process is not running.
@@ -270,7 +273,14 @@
         if self.cloud.is_released(&worker.id) || worker.is_paused {
             return;
         }
-        if worker.is_isolated || worker.loses_heartbeats {
+        if worker.loses_heartbeats {
+            // The worker cannot connect to any controller, and tries the next one.
+            worker.next_heartbeat_at = self.now + secs(CONNECT_RETRY_INTERVAL_S);
+            let heartbeat = worker.heartbeat();
+            self.network.copy_heartbeat(&heartbeat);
+            return;
+        }
+        if worker.is_isolated {
             if self.network.copies_heartbeats {
                 let heartbeat = worker.heartbeat();
                 self.network.copy_heartbeat(&heartbeat);
--- a/src/controller/tests/simulation/network.rs
+++ b/src/controller/tests/simulation/network.rs
@@ -168,7 +168,11 @@
             worker: index,
             command: command.clone(),
         });
-        DirectAnswer::Heartbeat(worker.handle_command(&command))
+        let answer = worker.handle_command(&command);
+        if worker.loses_command_answers {
+            return DirectAnswer::Indeterminate;
+        }
+        DirectAnswer::Heartbeat(answer)
     }
 
     /// Delivers the transactions that are held back to the store and discards its replies.
--- a/src/controller/tests/simulation/worker.rs
+++ b/src/controller/tests/simulation/worker.rs
@@ -97,6 +97,8 @@
     pub is_unreachable: bool,
     /// Whether the worker's heartbeats are lost, while direct commands reach it.
     pub loses_heartbeats: bool,
+    /// Whether the worker executes direct commands but its answers to them are lost.
+    pub loses_command_answers: bool,
     /// Whether the worker's process is paused: it does nothing, and direct commands are queued.
     pub is_paused: bool,
     queued_commands: Vec<DirectCommand>,
@@ -126,6 +128,7 @@
             is_isolated: false,
             is_unreachable: false,
             loses_heartbeats: false,
+            loses_command_answers: false,
             is_paused: false,
             queued_commands: vec![],
             launches: vec![],
--- a/src/partition_owner/direct_commands.rs
+++ b/src/partition_owner/direct_commands.rs
@@ -106,7 +106,7 @@
             return;
         };
         let Some(heartbeat) = reply.filter(|heartbeat| heartbeat.machine == *id) else {
-            machine.record_direct_command_lost();
+            machine.record_direct_command_lost(now);
             return;
         };
         machine.record_direct_command_reply();
--- a/src/partition_owner/periodic_checks.rs
+++ b/src/partition_owner/periodic_checks.rs
@@ -91,7 +91,7 @@
             let mut attempts = machine.attempts.values();
             let is_busy = machine.is_unconfirmed()
                 || attempts.any(|attempt| attempt.phase != AttemptPhase::Exited);
-            if !is_busy || now.since(machine.lease_started_at()) <= lease_timeout {
+            if !is_busy || !machine.has_lease_expired(now, lease_timeout) {
                 continue;
             }
             tracing::info!(partition = %self.ownership.partition(), machine = %id, "worker lease expired");
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -1,6 +1,6 @@
 //! An attempt to run a task on a machine, as the machine's owner tracks it.
 
-use super::{AttemptPhase, ExitCause};
+use super::{AttemptPhase, ExitCause, TaskStatus};
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::{AttemptId, FencingToken, TaskId};
@@ -16,6 +16,17 @@
     pub attempt: AttemptId,
 }
 
+impl AttemptKey {
+    /// Returns the key of the attempt whose status a worker reports. Returns `None` if the task's
+    /// name is malformed.
+    pub(super) fn of(status: &TaskStatus) -> Option<AttemptKey> {
+        Some(AttemptKey {
+            task: TaskId::parse(&status.task)?,
+            attempt: status.attempt,
+        })
+    }
+}
+
 /// The resources that a task requests, and the team that they count against.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TaskDemand {
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -54,8 +54,12 @@
     }
 
     /// Records that a direct command was not answered. It may still arrive, even minutes late, so
-    /// the fencing token is raised.
-    pub fn record_direct_command_lost(&mut self) {
+    /// the fencing token is raised. The attempts that it launches may have started at a worker that
+    /// restarted since the last response, so that their lease started after it.
+    pub fn record_direct_command_lost(&mut self, now: Micros) {
+        if self.direct_commands.launches_attempts() {
+            self.liveness.record_possible_lease_start(now);
+        }
         self.direct_commands.record_completed();
         self.fencing.fence_delayed_commands();
     }
@@ -138,7 +142,10 @@
             }
         }
         // Launches come last, so that the other commands free capacity for them first.
-        commands.sort_by_key(|command| matches!(command, WorkerCommand::Launch { .. }));
+        commands.sort_by_key(WorkerCommand::is_launch);
+        if route == CommandRoute::Direct && commands.last().is_some_and(WorkerCommand::is_launch) {
+            self.direct_commands.record_launches();
+        }
         commands
     }
 
--- a/src/workers/commands/tests.rs
+++ b/src/workers/commands/tests.rs
@@ -32,7 +32,7 @@
     let key = launch(&mut machine, "j-1/0", 7);
     machine.record_direct_command_sent(false, Micros::ZERO);
     let sent_token = machine.fencing_token();
-    machine.record_direct_command_lost();
+    machine.record_direct_command_lost(Micros::ZERO);
     assert!(machine.fencing_token() > sent_token);
     machine.reconcile(
         Micros(1),
--- a/src/workers/direct_commands.rs
+++ b/src/workers/direct_commands.rs
@@ -11,6 +11,8 @@
     /// The newest heartbeat that was known before the command was sent. The reply was created
     /// after it.
     known_heartbeat: KnownHeartbeat,
+    /// Whether the command launches attempts.
+    launches_attempts: bool,
     /// Whether neither a reply nor a failure of the command has been recorded yet.
     is_in_flight: bool,
 }
@@ -45,6 +47,18 @@
         self.last.is_some_and(|last| last.is_in_flight)
     }
 
+    /// Whether the last direct command launches attempts, whether it is in flight or not.
+    pub(super) fn launches_attempts(&self) -> bool {
+        self.last.is_some_and(|last| last.launches_attempts)
+    }
+
+    /// Records that the last direct command launches attempts.
+    pub(super) fn record_launches(&mut self) {
+        if let Some(last) = &mut self.last {
+            last.launches_attempts = true;
+        }
+    }
+
     /// Returns the newest heartbeat that was known before the last direct command was sent.
     pub(super) fn known_heartbeat(&self) -> KnownHeartbeat {
         self.last
@@ -81,6 +95,7 @@
     ) {
         self.last = Some(LastDirectCommand {
             known_heartbeat,
+            launches_attempts: false,
             is_in_flight: true,
         });
         self.token_commands += u32::from(delivers_token);
--- a/src/workers/liveness.rs
+++ b/src/workers/liveness.rs
@@ -15,9 +15,10 @@
     last_heartbeat_at: Option<Micros>,
     /// Instant of the last response to a heartbeat under a valid token.
     last_response_at: Micros,
-    /// Instant by which the current agent epoch had started. The worker's lease starts anew with
-    /// each agent epoch.
-    agent_epoch_started_at: Micros,
+    /// The latest instant at which the worker can have begun a lease without a response, because
+    /// it restarted or began another agent epoch. A lease that it began later matters only to
+    /// attempts that are launched later still.
+    last_possible_lease_start: Micros,
 }
 
 impl Liveness {
@@ -28,7 +29,7 @@
             last_contact_at: None,
             last_heartbeat_at: None,
             last_response_at: now,
-            agent_epoch_started_at: now,
+            last_possible_lease_start: now,
         }
     }
 
@@ -50,10 +51,10 @@
     }
 
     /// Returns the latest instant at which the worker's lease can have started: the last response
-    /// to a heartbeat, or the start of the agent epoch. Initially both are the instant at which
+    /// to a heartbeat, or the last possible start without a response. Initially both are the instant at which
     /// this owner received the machine, because an earlier owner may have responded until then.
     pub(super) fn lease_started_at(&self) -> Micros {
-        self.last_response_at.max(self.agent_epoch_started_at)
+        self.last_response_at.max(self.last_possible_lease_start)
     }
 
     /// Records an accepted heartbeat.
@@ -71,9 +72,9 @@
         self.last_response_at = now;
     }
 
-    /// Records that the worker has started another agent epoch by now.
-    pub(super) fn record_epoch_start(&mut self, now: Micros) {
-        self.agent_epoch_started_at = now;
+    /// Records that the worker may have begun a lease without a response by now.
+    pub(super) fn record_possible_lease_start(&mut self, now: Micros) {
+        self.last_possible_lease_start = now;
     }
 }
 
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -137,11 +137,22 @@
     }
 
     /// Returns the latest instant at which the worker's lease can have started: the last response
-    /// to a heartbeat, or the start of the agent epoch.
+    /// to a heartbeat, or the last message that does not prove that the worker has not restarted
+    /// since.
     pub fn lease_started_at(&self) -> Micros {
         self.liveness.lease_started_at()
     }
 
+    /// Whether the lease under which the machine's attempts run is guaranteed to have ended.
+    /// `timeout` is the longest time that a worker may take to end its attempts, counted from the
+    /// start of its lease.
+    pub fn has_lease_expired(&self, now: Micros, timeout: Micros) -> bool {
+        // A launch that is in flight may start an attempt at a worker that has just restarted.
+        let may_be_launching =
+            self.direct_commands.is_in_flight() && self.direct_commands.launches_attempts();
+        !may_be_launching && now.since(self.lease_started_at()) > timeout
+    }
+
     /// Returns the instant at which the cloud preempts the machine; `None` if the cloud has given
     /// no notice.
     pub fn preempted_at(&self) -> Option<Micros> {
--- a/src/workers/protocol.rs
+++ b/src/workers/protocol.rs
@@ -139,6 +139,13 @@
     },
 }
 
+impl WorkerCommand {
+    /// Whether the command starts an attempt.
+    pub fn is_launch(&self) -> bool {
+        matches!(self, WorkerCommand::Launch { .. })
+    }
+}
+
 /// The response to a heartbeat. It renews the worker's lease.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct HeartbeatResponse {
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -7,7 +7,7 @@
 use super::heartbeat_order::{HeartbeatOrder, KnownHeartbeat};
 use super::{Attempt, AttemptKey, AttemptPhase, ExitCause, Heartbeat, Machine, TaskStatus};
 use crate::clock::Micros;
-use crate::ids::{FencingToken, TaskId};
+use crate::ids::FencingToken;
 use std::collections::BTreeSet;
 
 /// A change of an attempt that a heartbeat shows.
@@ -84,7 +84,7 @@
     /// command shows. Commands sent before may still reach the worker, so its attempts count as
     /// lost only once a heartbeat shows a higher token.
     pub fn record_restart(&mut self, now: Micros, reply: &Heartbeat) {
-        self.liveness.record_epoch_start(now);
+        self.liveness.record_possible_lease_start(now);
         self.agent.record_restart(reply);
         self.fencing.record_restart();
         self.images.clear();
@@ -95,9 +95,11 @@
     /// [`Machine::order`], and shows this owner's term.
     pub fn reconcile(&mut self, now: Micros, heartbeat: &Heartbeat) -> Vec<AttemptEvent> {
         if self.order(heartbeat) == HeartbeatOrder::NewerAfterRestart {
-            self.liveness.record_epoch_start(now);
             self.images.clear();
         }
+        if !self.proves_no_restart(heartbeat) {
+            self.liveness.record_possible_lease_start(now);
+        }
         self.reconcile_worker(now, heartbeat);
         let epoch_ended = self.reconcile_agent_epoch(now, heartbeat);
         let notice = heartbeat.termination_notice_s;
@@ -111,6 +113,19 @@
         events
     }
 
+    /// Whether an accepted heartbeat proves that the worker has not restarted since the newest
+    /// heartbeat accepted before: it still shows an attempt which that heartbeat or an earlier one
+    /// has shown. A restart ends all attempts, and a launch is not sent again once a heartbeat has
+    /// shown its attempt. Nothing else proves it, since a restarted worker may have counted past
+    /// the known position, and a direct command makes the token known to it again.
+    fn proves_no_restart(&self, heartbeat: &Heartbeat) -> bool {
+        let is_known_attempt = |status: &TaskStatus| {
+            let known = AttemptKey::of(status).and_then(|key| self.attempts.get(&key));
+            known.is_some_and(|attempt| attempt.phase != AttemptPhase::Launching)
+        };
+        heartbeat.tasks.iter().any(is_known_attempt)
+    }
+
     /// Records that the worker is alive, its address, and the token that it has seen.
     fn reconcile_worker(&mut self, now: Micros, heartbeat: &Heartbeat) {
         self.liveness.record_contact(now);
@@ -132,7 +147,7 @@
             // ended, because the last response belongs to an earlier epoch. A machine whose
             // heartbeats do not get through may still carry out direct commands, over any number
             // of epochs.
-            self.liveness.record_epoch_start(now);
+            self.liveness.record_possible_lease_start(now);
         }
         let epoch_ended = change == EpochChange::Advanced;
         if epoch_ended {
@@ -153,13 +168,9 @@
     ) -> BTreeSet<AttemptKey> {
         let mut reported = BTreeSet::new();
         for status in statuses {
-            let Some(task) = TaskId::parse(&status.task) else {
+            let Some(key) = AttemptKey::of(status) else {
                 continue;
             };
-            let key = AttemptKey {
-                task,
-                attempt: status.attempt,
-            };
             reported.insert(key.clone());
             let Some(attempt) = self.attempts.get_mut(&key) else {
                 events.push(AttemptEvent::Unknown(key, status.phase, status.cause));
