Test: random orders of restarts, late reports, lost answers and direct commands

The new test draws orders of restarts (with heartbeats held back across them), lost heartbeats, lost answers to direct commands, late commands and late heartbeats, submissions, completions, cancellations and restarts of controllers, on two young machines, and checks all invariants after each step and that all jobs end.

The simulation drops the direct commands that were on their way to a process that restarts, as design.md (Late copies) states.

--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Most tests run the controllers' cores in a deterministic simulation ([`simulation`]). One test
 //! runs whole controllers with real sockets on loopback ([`loopback`]). The tests are grouped into
-//! modules by behaviour. In addition, [`fault_pairs`] combines random faults, and
+//! modules by behaviour. In addition, [`fault_pairs`] combines random faults, [`worker_histories`]
+//! draws random orders of events at workers, and
 //! [`characterization`] detects any change of behaviour.
 
 mod autoscaling;
@@ -28,5 +29,6 @@
 mod starvation;
 mod store_limits;
 mod store_outages;
+mod worker_histories;
 mod worker_restarts;
 mod zone_failover;
--- a/src/controller/tests/simulation/network.rs
+++ b/src/controller/tests/simulation/network.rs
@@ -193,6 +193,14 @@
         self.workers[sent.worker].handle_command(&sent.command);
     }
 
+    /// Restarts a worker's process. The direct commands that were held back on their way to the old
+    /// process are lost, because its connections end with it.
+    pub fn restart_worker(&mut self, index: usize) {
+        self.workers[index].restart(self.now);
+        let held = &mut self.network.held_commands;
+        held.retain(|sent| sent.worker != index);
+    }
+
     /// Delivers a late copy of a heartbeat to a controller and returns its answer. Returns `None`
     /// if the controller is not running.
     pub fn deliver_late_heartbeat(
--- a/src/controller/tests/simulation/steps.rs
+++ b/src/controller/tests/simulation/steps.rs
@@ -126,6 +126,14 @@
         }
     }
 
+    /// Makes all running tasks of a worker exit successfully.
+    pub fn finish_all_of(&mut self, worker: usize) {
+        let attempts = self.workers[worker].tasks.values_mut();
+        for attempt in attempts.filter(|attempt| attempt.is_running()) {
+            attempt.exit(ExitCause::Done);
+        }
+    }
+
     /// Makes all running tasks exit successfully.
     pub fn finish_all(&mut self) {
         self.exit_all_of("", ExitCause::Done);
