A capacity request that needs a machine yields at least one

Cause: the leader scales the count of a request to what on-demand machines are worth for short tasks, down to a third, and rounded it to the nearest number. The owner's rounding up (waited_long) reached the leader and was not read. In the owner, an estimate of 0 s, which a submission may state, made the share itself 0, also for spot machines.

What the code took for granted: "a request whose share is rounded down is served by machines that others get". Checked: the leader's share (changed), the owner's share (changed), the merge of requests (only those that agree on needs_machine are merged), the fraction that the owner carries on (less than one task, and rounded up after 10 s as before), a scale-out factor of 0 in the operators' policy (documented to request none; kept).

Fix: a request says whether it needs a machine: no machine of the partition suits it, or it has waited for a minute for those that do. It then yields at least one, in the owner and in the leader.

--- a/src/autoscaler/scale_out.rs
+++ b/src/autoscaler/scale_out.rs
@@ -103,7 +103,7 @@
     }
 
     /// Returns the machines to scale out for `unserved` tasks of a request, or `None` if no offer
-    /// can be used or the tasks do not justify a machine.
+    /// can be used, or if the tasks do not justify a machine and may get one without a scale-out.
     fn plan<'a>(
         &self,
         search: &OfferSearch<'a>,
@@ -114,7 +114,7 @@
         let tasks = if offer.spot {
             unserved
         } else {
-            self.tasks_worth_on_demand(unserved, request.estimated_run_time_s)
+            self.tasks_worth_on_demand(unserved, request)
         };
         let capacity = offer.machine_type.capacity();
         let tasks_per_machine = request.request.times_in(&capacity).max(1);
@@ -135,13 +135,14 @@
     /// Returns for how many of `tasks` on-demand instances are worth their price: short tasks free
     /// their machines soon and justify fewer of them. The owner has already reduced `tasks` to the
     /// share by the policy's horizon; the result is the share by the longer horizon for on-demand
-    /// instances.
-    fn tasks_worth_on_demand(&self, tasks: u32, run_time_s: f64) -> u32 {
-        let share = |horizon_s: f64| (run_time_s / horizon_s).min(1.0);
+    /// instances. It is at least one if the request needs a machine, because nothing else serves
+    /// the request then.
+    fn tasks_worth_on_demand(&self, tasks: u32, request: &CapacityRequest) -> u32 {
         let horizon_s = self.horizon.as_secs();
-        let worth =
-            f64::from(tasks) * share(ON_DEMAND_HORIZON_FACTOR * horizon_s) / share(horizon_s);
-        worth.round() as u32
+        let run_time_s = request.estimated_run_time_s.max(horizon_s);
+        let share = (run_time_s / (ON_DEMAND_HORIZON_FACTOR * horizon_s)).min(1.0);
+        let worth = (f64::from(tasks) * share).round() as u32;
+        worth.max(u32::from(request.needs_machine))
     }
 }
 
--- a/src/controller/tests/autoscaling.rs
+++ b/src/controller/tests/autoscaling.rs
@@ -3,6 +3,7 @@
 
 use super::simulation::{Simulation, secs};
 use crate::cloud::MachineType;
+use crate::jobs::JobDesc;
 use crate::jobs::tests::{job_desc, machine_types};
 use crate::settings::tests::settings;
 use crate::store::keys;
@@ -75,3 +76,61 @@
     }
     assert_eq!(simulation.cloud.released.len(), 3);
 }
+
+/// Submits a job to a cluster without machines and returns the time in seconds until it starts.
+/// Fails if it has not started within four minutes, in which even the largest jobs have to begin.
+fn seconds_until_start(job: &JobDesc) -> f64 {
+    let mut simulation = Simulation::started(1, 0);
+    simulation.cloud.has_capacity = true;
+    simulation.submit(job);
+    let submitted_at = simulation.now;
+    let id = job.id.to_string();
+    simulation.advance_until(240.0, |simulation| simulation.has_started(&id));
+    simulation.now.since(submitted_at).as_secs()
+}
+
+/// Guards against `nothing_ran`: a job that waits alone and is expected to be short was worth less
+/// than half an on-demand machine, which was rounded to none for ever.
+#[test]
+fn job_of_one_short_task_gets_an_on_demand_machine_on_an_idle_cloud() {
+    for estimate_s in [0.0, 0.001, 3.0, 30.0, 44.9, 60.0] {
+        let mut job = job_desc("j-1", 1);
+        job.spot = false;
+        job.estimated_run_time_s = estimate_s;
+        let waited_s = seconds_until_start(&job);
+        assert!(
+            waited_s < 10.0,
+            "no machine suits the job, so that one is requested at once, but a job of {estimate_s} s \
+             has waited for {waited_s} s"
+        );
+    }
+}
+
+/// Guards against the same fault for a job that may use spot machines, and whose estimate is zero.
+#[test]
+fn job_with_an_estimate_of_zero_gets_a_spot_machine_on_an_idle_cloud() {
+    let mut job = job_desc("j-1", 1);
+    job.estimated_run_time_s = 0.0;
+    assert!(job.spot);
+    assert!(seconds_until_start(&job) < 10.0);
+}
+
+/// Guards against the same fault beside a machine that suits the job and is in use for long: the
+/// job waits for it for a minute, and then gets a machine of its own.
+#[test]
+fn short_job_beside_a_machine_in_use_gets_a_machine_after_its_wait() {
+    let mut simulation = Simulation::started(1, 1);
+    let mut long = job_desc("j-1", 1);
+    long.cores = 16.0;
+    simulation.submit(&long);
+    simulation.advance(3.0);
+    assert_eq!(simulation.running_count(), 1);
+    simulation.cloud.has_capacity = true;
+    let mut short = job_desc("j-2", 1);
+    short.team = "blue".into();
+    short.spot = false;
+    short.estimated_run_time_s = 3.0;
+    simulation.submit(&short);
+    simulation.advance(70.0);
+    assert!(simulation.has_started("j-2"));
+}
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -3,8 +3,8 @@
 //! Most tests run the controllers' cores in a deterministic simulation ([`simulation`]). One test
 //! runs whole controllers with real sockets on loopback ([`loopback`]). The tests are grouped into
 //! modules by behaviour. In addition, [`fault_pairs`] combines random faults, [`worker_histories`]
-//! draws random orders of events at workers, and
-//! [`characterization`] detects any change of behaviour.
+//! draws random orders of events at workers, [`idle_cloud`] draws small loads on a cloud without
+//! machines, and [`characterization`] detects any change of behaviour.
 
 mod autoscaling;
 mod cancellation;
@@ -16,6 +16,7 @@
 mod fencing;
 mod formats;
 mod heartbeats;
+mod idle_cloud;
 mod isolation;
 mod job_lifecycle;
 mod leases;
--- a/src/mesh/codec/tests.rs
+++ b/src/mesh/codec/tests.rs
@@ -71,7 +71,7 @@
         spot: false,
         count: 300,
         estimated_run_time_s: 0.5,
-        waited_long: false,
+        needs_machine: false,
     }];
     let partition = |partition, term, capacity_requests, releasable_machines| PartitionState {
         received_at: Micros::ZERO,
--- a/src/placement/capacity_requests.rs
+++ b/src/placement/capacity_requests.rs
@@ -23,9 +23,9 @@
     pub count: u32,
     /// Run time of a task in seconds, as its owner estimates it.
     pub estimated_run_time_s: f64,
-    /// Whether the tasks have waited so long that the missing capacity is rounded up, so that
-    /// machines are scaled out at once.
-    pub waited_long: bool,
+    /// Whether at least one machine has to be scaled out, however little capacity the tasks are
+    /// worth: no machine of the partition suits them, or they have waited long for those that do.
+    pub needs_machine: bool,
 }
 
 impl CapacityRequest {
@@ -44,7 +44,7 @@
             && self.machine_types == other.machine_types
             && self.zone == other.zone
             && self.spot == other.spot
-            && self.waited_long == other.waited_long
+            && self.needs_machine == other.needs_machine
     }
 }
 
@@ -63,16 +63,20 @@
     pub count: u32,
 }
 
-/// Waiting time from which on a job's missing capacity is rounded up to whole tasks, so that it
-/// scales out at once.
+/// Waiting time from which on a job's missing capacity is rounded up to whole tasks.
 const LONG_WAIT: Micros = Micros::from_millis(10_000);
 
+/// Waiting time from which on a machine is scaled out for a job even if the partition has machines
+/// that suit it: they are in use, and may be for long.
+const MAX_WAIT_FOR_SUITABLE_MACHINE: Micros = Micros::from_millis(60_000);
+
 /// Returns the capacity that the partition's waiting jobs lack beyond that of the booting machines
 /// in `pending`, the most urgent job first.
 ///
 /// A job whose estimated run time is shorter than `horizon` requests only the fraction
 /// `estimated run time / horizon` of its capacity. The scale-out factor of the operators' policy
-/// applies to every job.
+/// applies to every job. A job that no machine suits, or that has waited for a minute, requests
+/// capacity for at least one task, unless the scale-out factor is 0.
 pub fn capacity_requests(
     snapshot: &SchedulingSnapshot<'_>,
     pending: &[PendingMachines<'_>],
@@ -147,12 +151,14 @@
             // scaled out for it only if no machine is suitable.
             return;
         }
-        let waited_long = self.snapshot.wall_clock.since(job.eligible_since()) >= LONG_WAIT;
-        let exact_tasks = f64::from(startable)
-            * self.fraction_of_horizon(desc)
-            * job.policy_choice().scale_out_factor
+        let waited = self.snapshot.wall_clock.since(job.eligible_since());
+        let needs_machine = has_no_suitable_machine || waited >= MAX_WAIT_FOR_SUITABLE_MACHINE;
+        let scale_out_factor = job.policy_choice().scale_out_factor;
+        let exact_tasks = f64::from(startable) * self.fraction_of_horizon(desc) * scale_out_factor
             + self.carried_fraction;
-        let mut wanted_tasks = if waited_long || has_no_suitable_machine {
+        let mut wanted_tasks = if needs_machine && scale_out_factor > 0.0 {
+            exact_tasks.ceil().max(1.0)
+        } else if waited >= LONG_WAIT {
             exact_tasks.ceil()
         } else {
             exact_tasks.floor()
@@ -163,7 +169,7 @@
             *headroom -= request.scale(f64::from(wanted_tasks));
         }
         wanted_tasks -= self.serve_from_pending(desc, wanted_tasks);
-        self.add_request(desc, wanted_tasks, waited_long);
+        self.add_request(desc, wanted_tasks, needs_machine);
     }
 
     /// Returns the number of a job's waiting tasks that could start now within its team's limit.
@@ -219,7 +225,7 @@
     }
 
     /// Adds a capacity request, or adds its count to an earlier request with the same requirements.
-    fn add_request(&mut self, desc: &JobDesc, count: u32, waited_long: bool) {
+    fn add_request(&mut self, desc: &JobDesc, count: u32, needs_machine: bool) {
         if count == 0 {
             return;
         }
@@ -230,7 +236,7 @@
             spot: desc.spot,
             count,
             estimated_run_time_s: desc.estimated_run_time_s,
-            waited_long,
+            needs_machine,
         };
         match self
             .requests
