Pending machines serve requests that need a machine only if they may be used

The new test pending_machines_serve_only_jobs_that_may_use_them (a job bound to one zone beside a stream of jobs that cause scale-outs in another) failed before.

--- a/src/autoscaler/pending_capacity.rs
+++ b/src/autoscaler/pending_capacity.rs
@@ -2,8 +2,10 @@
 //! that lacked capacity in earlier reports.
 
 use crate::clock::Micros;
+use crate::cloud::ScaleOutRecord;
 use crate::fairness::Resources;
 use crate::ids::PartitionId;
+use crate::placement::CapacityRequest;
 use std::collections::BTreeMap;
 
 /// Time for which requested machines count as pending while the cloud has not replied.
@@ -18,11 +20,45 @@
 
 #[derive(Debug)]
 struct ExpectedMachines {
-    partition: PartitionId,
+    record: ScaleOutRecord,
     expires_at: Micros,
     /// Capacity of each machine.
     capacity: Resources,
-    count: u32,
+}
+
+/// A machine that is being scaled out, and the capacity on it that no request has used yet.
+#[derive(Debug)]
+pub(super) struct PendingMachine {
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    free: Resources,
+}
+
+impl PendingMachine {
+    /// Creates a machine of a scale-out with this free capacity.
+    pub(super) fn new(record: &ScaleOutRecord, free: Resources) -> Self {
+        PendingMachine {
+            machine_type: record.machine_type.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            free,
+        }
+    }
+
+    /// Takes capacity for up to `tasks` tasks of a request. Returns the number of tasks that it
+    /// has capacity for. A request that needs a machine is served only if its tasks may use this
+    /// one. Any other request has machines that suit it, and the work that leaves them for this
+    /// one frees them.
+    pub(super) fn serve(&mut self, request: &CapacityRequest, tasks: u32) -> u32 {
+        let may_use = request.fits(&self.machine_type, &self.zone, self.spot, &self.free);
+        if request.needs_machine && !may_use {
+            return 0;
+        }
+        let served = request.request.times_in(&self.free).min(tasks);
+        self.free -= request.request.scale(f64::from(served));
+        served
+    }
 }
 
 /// Capacity that the owners' reports do not include yet, by the name of the scale-out that
@@ -33,21 +69,18 @@
 }
 
 impl PendingCapacity {
-    /// Adds `count` machines of this capacity for a partition, requested at `now` by the scale-out
-    /// `name`.
+    /// Adds the machines of a scale-out, each of this capacity, requested at `now` under `name`.
     pub(super) fn add(
         &mut self,
         now: Micros,
         name: String,
-        partition: PartitionId,
+        record: ScaleOutRecord,
         capacity: Resources,
-        count: u32,
     ) {
         let expected = ExpectedMachines {
-            partition,
+            record,
             expires_at: now + REQUESTED_TIMEOUT,
             capacity,
-            count,
         };
         self.by_scale_out.insert(name, expected);
     }
@@ -55,7 +88,7 @@
     /// Records that the cloud has confirmed `count` machines of a scale-out.
     pub(super) fn confirm(&mut self, now: Micros, name: &str, count: u32) {
         if let Some(expected) = self.by_scale_out.get_mut(name) {
-            expected.count = count;
+            expected.record.count = count;
             expected.expires_at = now + CONFIRMED_TIMEOUT;
         }
     }
@@ -72,12 +105,15 @@
             .retain(|_, expected| expected.expires_at > now);
     }
 
-    /// Returns the capacity of each pending machine of a partition.
-    pub(super) fn of_partition(&self, partition: PartitionId) -> Vec<Resources> {
-        self.by_scale_out
-            .values()
-            .filter(|expected| expected.partition == partition)
-            .flat_map(|expected| std::iter::repeat_n(expected.capacity, expected.count as usize))
+    /// Returns the pending machines of a partition, all of whose capacity is free.
+    pub(super) fn of_partition(&self, partition: PartitionId) -> Vec<PendingMachine> {
+        let expected = self.by_scale_out.values();
+        expected
+            .filter(|expected| expected.record.partition == partition)
+            .flat_map(|expected| {
+                let machine = || PendingMachine::new(&expected.record, expected.capacity);
+                std::iter::repeat_with(machine).take(expected.record.count as usize)
+            })
             .collect()
     }
 }
--- a/src/autoscaler/scale_out.rs
+++ b/src/autoscaler/scale_out.rs
@@ -2,6 +2,7 @@
 //! waiting tasks lack.
 
 use super::offers::{MachineCounts, Offer, OfferSearch};
+use super::pending_capacity::PendingMachine;
 use super::scale_outs::ScaleOuts;
 use super::{Effect, FleetSnapshot, PARTITION_STATE_MAX_AGE};
 use crate::clock::Micros;
@@ -85,9 +86,9 @@
             }
             // Pending machines serve the requests in their order. So does the capacity that
             // remains on the machines scaled out for an earlier request.
-            let mut free_capacity = self.pending_capacity.of_partition(*partition);
+            let mut pending = self.pending_capacity.of_partition(*partition);
             for request in &state.capacity_requests {
-                let unserved = serve_from(&mut free_capacity, request);
+                let unserved = serve_from(&mut pending, request);
                 if unserved == 0 || budget == 0 {
                     continue;
                 }
@@ -95,8 +96,9 @@
                     continue;
                 };
                 budget -= 1;
-                free_capacity.extend(plan.remaining_capacity(&request.request));
                 let record = plan.record(*partition);
+                let remaining = plan.remaining_capacity(&request.request);
+                pending.extend(remaining.map(|free| PendingMachine::new(&record, free)));
                 effects.push(self.begin(now, fleet.leader, record, plan.capacity()));
             }
         }
@@ -146,14 +148,12 @@
     }
 }
 
-/// Takes free capacity of machines for the tasks of a request. Returns the number of tasks for
-/// which the capacity does not suffice.
-fn serve_from(free_capacity: &mut [Resources], request: &CapacityRequest) -> u32 {
+/// Takes free capacity of pending machines for the tasks of a request. Returns the number of tasks
+/// for which the capacity that they may use does not suffice.
+fn serve_from(pending: &mut [PendingMachine], request: &CapacityRequest) -> u32 {
     let mut unserved = request.count;
-    for free in free_capacity {
-        let tasks = request.request.times_in(free).min(unserved);
-        *free -= request.request.scale(f64::from(tasks));
-        unserved -= tasks;
+    for machine in pending {
+        unserved -= machine.serve(request, unserved);
     }
     unserved
 }
--- a/src/autoscaler/scale_outs.rs
+++ b/src/autoscaler/scale_outs.rs
@@ -203,9 +203,8 @@
             machines = record.count,
             "scale-out requested"
         );
-        let (partition, count) = (record.partition, record.count);
         self.pending_capacity
-            .add(now, name.clone(), partition, capacity, count);
+            .add(now, name.clone(), record.clone(), capacity);
         let entry = ScaleOut {
             record: record.clone(),
             state: ScaleOutState::Recording,
--- a/src/controller/tests/autoscaling.rs
+++ b/src/controller/tests/autoscaling.rs
@@ -134,3 +134,33 @@
     simulation.advance(70.0);
     assert!(simulation.has_started("j-2"));
 }
+
+/// Guards against a job that waits while machines are scaled out for others: the capacity that they
+/// leave free counted as capacity for the job, although it may not use them.
+#[test]
+fn pending_machines_serve_only_jobs_that_may_use_them() {
+    let mut simulation = Simulation::builder(1, 0).team_limits(10_000.0).started();
+    simulation.cloud.has_capacity = true;
+    let mut bound = job_desc("j-1", 1);
+    bound.zone = Some("y".into());
+    bound.estimated_run_time_s = 600.0;
+    let submit_stream_job = |simulation: &mut Simulation, number: u32| {
+        // A machine of 16 cores in zone x is scaled out for each of these jobs.
+        let mut job = job_desc(&format!("j-{}", 100 + number), 1);
+        job.cores = 9.0;
+        job.estimated_run_time_s = 600.0;
+        job.machine_types = Some(vec!["big".into()]);
+        simulation.submit(&job);
+    };
+    submit_stream_job(&mut simulation, 0);
+    simulation.advance(1.0);
+    simulation.submit(&bound);
+    for number in 1..=20 {
+        submit_stream_job(&mut simulation, number);
+        simulation.advance(0.5);
+    }
+    assert!(
+        simulation.has_started("j-1"),
+        "no machine suits the job, so that one is requested at once, but it has waited for 10 s"
+    );
+}
