--- a/src/autoscaler/pending_capacity.rs
+++ b/src/autoscaler/pending_capacity.rs
@@ -51,8 +51,9 @@
     /// one. Any other request has machines that suit it, and the work that leaves them for this
     /// one frees them.
     pub(super) fn serve(&mut self, request: &CapacityRequest, tasks: u32) -> u32 {
-        let may_use = request.fits(&self.machine_type, &self.zone, self.spot, &self.free);
-        if request.needs_machine && !may_use {
+        if request.needs_machine
+            && !request.fits(&self.machine_type, &self.zone, self.spot, &self.free)
+        {
             return 0;
         }
         let served = request.request.times_in(&self.free).min(tasks);
--- a/src/controller/tests/fault_pairs/mod.rs
+++ b/src/controller/tests/fault_pairs/mod.rs
@@ -12,6 +12,7 @@
 mod history;
 
 use super::characterization::WireRecorder;
+use super::seeds::seeds;
 use super::simulation::secs;
 use fault::{FAULTS, Fault};
 use history::FaultHistory;
@@ -68,11 +69,7 @@
 
 /// Runs the seeds that belong to one part of a kind of history.
 fn run_part(part: u64, kind: HistoryKind) {
-    let range = std::env::var("PAIRS").ok();
-    let range = range.as_deref().and_then(|range| range.split_once(".."));
-    let number = |text: &str| text.parse().expect("a number");
-    let (from, to) = range.map_or(SEEDS, |(from, to)| (number(from), number(to)));
-    for seed in (from..to).filter(|seed| seed % PARTS == part) {
+    for seed in seeds("PAIRS", SEEDS).filter(|seed| seed % PARTS == part) {
         run_pair(&mut FaultHistory::new(seed, kind), seed, kind);
     }
 }
--- a/src/controller/tests/idle_cloud.rs
+++ b/src/controller/tests/idle_cloud.rs
@@ -7,6 +7,7 @@
 //!
 //! `IDLE_CLOUD=1000..9000 cargo test --release idle_cloud` runs other seeds.
 
+use super::seeds::seeds;
 use super::simulation::{ExitCause, Simulation};
 use crate::jobs::JobDesc;
 use crate::jobs::tests::job_desc;
@@ -151,11 +152,7 @@
 
 /// Runs the seeds that belong to one part.
 fn run_part(part: u64) {
-    let range = std::env::var("IDLE_CLOUD").ok();
-    let range = range.as_deref().and_then(|range| range.split_once(".."));
-    let number = |text: &str| text.parse().expect("a number");
-    let (from, to) = range.map_or(SEEDS, |(from, to)| (number(from), number(to)));
-    for seed in (from..to).filter(|seed| seed % PARTS == part) {
+    for seed in seeds("IDLE_CLOUD", SEEDS).filter(|seed| seed % PARTS == part) {
         println!("seed {seed}");
         IdleCloud::new(seed).run();
     }
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -26,6 +26,7 @@
 mod quotas;
 mod restarts;
 mod scale;
+mod seeds;
 mod simulation;
 mod starvation;
 mod store_limits;
--- a/src/controller/tests/worker_histories.rs
+++ b/src/controller/tests/worker_histories.rs
@@ -7,6 +7,7 @@
 //!
 //! `WORKER_HISTORIES=1000..9000 cargo test --release worker_histories` runs other seeds.
 
+use super::seeds::seeds;
 use super::simulation::{Simulation, secs};
 use crate::clock::Micros;
 use crate::jobs::tests::job_desc;
@@ -261,11 +262,7 @@
 
 /// Runs the seeds that belong to one part.
 fn run_part(part: u64) {
-    let range = std::env::var("WORKER_HISTORIES").ok();
-    let range = range.as_deref().and_then(|range| range.split_once(".."));
-    let number = |text: &str| text.parse().expect("a number");
-    let (from, to) = range.map_or(SEEDS, |(from, to)| (number(from), number(to)));
-    for seed in (from..to).filter(|seed| seed % PARTS == part) {
+    for seed in seeds("WORKER_HISTORIES", SEEDS).filter(|seed| seed % PARTS == part) {
         println!("seed {seed}");
         WorkerHistory::new(seed).run();
     }
--- a/src/partition_owner/heartbeats.rs
+++ b/src/partition_owner/heartbeats.rs
@@ -5,9 +5,10 @@
 //! fencing token of this owner's term.
 
 use super::OwnedPartition;
+use super::direct_commands::DirectCommandQueue;
 use crate::clock::Micros;
 use crate::fairness::Resources;
-use crate::workers::{CommandRoute, Heartbeat, HeartbeatOrder, HeartbeatResponse};
+use crate::workers::{CommandRoute, Heartbeat, HeartbeatOrder, HeartbeatResponse, Machine};
 
 /// Result of checking a heartbeat.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -69,10 +70,7 @@
         let order = machine.order(heartbeat);
         if order == HeartbeatOrder::Stale {
             // A delayed or duplicated heartbeat does not even show that the machine is alive.
-            machine.record_stale_heartbeat(heartbeat);
-            if machine.needs_probe() {
-                self.direct_commands.request(&heartbeat.machine);
-            }
+            record_stale(machine, &mut self.direct_commands, heartbeat);
             return HeartbeatVerdict::Rejected;
         }
         if heartbeat.fencing_token > machine.fencing_token() {
@@ -94,10 +92,7 @@
             HeartbeatOrder::Newer | HeartbeatOrder::Stale => {}
         }
         if !order.is_newer() || !machine.shows_term(heartbeat) {
-            machine.record_stale_heartbeat(heartbeat);
-            if machine.needs_probe() {
-                self.direct_commands.request(&heartbeat.machine);
-            }
+            record_stale(machine, &mut self.direct_commands, heartbeat);
             return HeartbeatVerdict::TokenOutdated;
         }
         machine.record_heartbeat(now);
@@ -126,3 +121,12 @@
         }
     }
 }
+
+/// Records a stale heartbeat, and requests a direct command if one is needed to find out the state
+/// of the worker.
+fn record_stale(machine: &mut Machine, queue: &mut DirectCommandQueue, heartbeat: &Heartbeat) {
+    machine.record_stale_heartbeat(heartbeat);
+    if machine.needs_probe() {
+        queue.request(&heartbeat.machine);
+    }
+}
--- a/src/workers/heartbeat_order.rs
+++ b/src/workers/heartbeat_order.rs
@@ -4,7 +4,8 @@
 //! fencing token. The position in the count therefore orders only the heartbeats between two
 //! restarts. Fencing tokens order the others. Two kinds of messages make a token known to a worker
 //! that does not have it: direct commands, and responses to heartbeats that show a lower token than
-//! the newest accepted heartbeat. Each of them carries a token that no message carried before. The
+//! the newest accepted heartbeat. Each of them carries a token that no message carried before, with
+//! the exception below. The
 //! first token that a restarted worker sees is thus higher than every token in a heartbeat from
 //! before the restart.
 //!
