--- /dev/null
+++ b/src/controller/tests/command_copies.rs
@@ -0,0 +1,137 @@
+//! Copies of direct commands that were executed and answered before. They arrive once more, at any
+//! later time, and nobody waits for their answers.
+
+use super::simulation::{ExitCause, Simulation};
+use crate::jobs::JobDesc;
+use crate::jobs::tests::job_desc;
+use crate::workers::WorkerCommand;
+
+/// Maximum time in seconds until a task that lost its attempt runs again.
+const REPLACEMENT_TIMEOUT_S: f64 = 30.0;
+/// Maximum time in seconds until an attempt that has exited has been reaped.
+const REAP_TIMEOUT_S: f64 = 10.0;
+/// Cores of the machines.
+const MACHINE_CORES: f64 = 16.0;
+
+/// Describes a job of one long task without a deadline.
+fn patient_job(id: &str) -> JobDesc {
+    let mut job = job_desc(id, 1);
+    job.deadline_s = None;
+    job.estimated_run_time_s = 600.0;
+    job
+}
+
+/// Submits a job of one task, which a direct command launches. Returns the index of its worker.
+fn submit_one_task(simulation: &mut Simulation) -> usize {
+    simulation.submit(&patient_job("j-1"));
+    simulation.advance_until(3.0, |simulation| simulation.running_count_of("j-1/") == 1);
+    let worker = simulation.workers_running("j-1/0")[0];
+    let commands = &simulation.network.delivered_commands;
+    let launches = |command: &[_]| command.iter().any(WorkerCommand::is_launch);
+    assert!(
+        commands
+            .iter()
+            .any(|sent| sent.worker == worker && launches(&sent.command.commands)),
+        "a direct command launches the task"
+    );
+    worker
+}
+
+/// Delivers all direct commands that a worker has executed so far once more, and checks all
+/// invariants after each of them.
+fn deliver_copies(simulation: &mut Simulation, worker: usize) {
+    let copies = simulation.network.delivered_commands.clone();
+    for copy in copies.iter().filter(|copy| copy.worker == worker) {
+        simulation.deliver_command(copy);
+        simulation.check_invariants();
+    }
+}
+
+/// Advances until `j-1/0` runs on another worker than before, which has forgotten it.
+fn advance_until_moved(simulation: &mut Simulation, from: usize) {
+    simulation.advance_until(REPLACEMENT_TIMEOUT_S, |simulation| {
+        let running = simulation.workers_running("j-1/0");
+        running.iter().any(|worker| *worker != from)
+            && !simulation.workers[from].tasks.contains_key("j-1/0")
+    });
+}
+
+/// Advances until a worker has forgotten a task.
+fn advance_until_reaped(simulation: &mut Simulation, worker: usize, task: &str) {
+    simulation.advance_until(REAP_TIMEOUT_S, |simulation| {
+        !simulation.workers[worker].tasks.contains_key(task)
+    });
+}
+
+/// Starts a task, lets it fail, and advances until it runs on another machine. Returns the index of
+/// the first worker.
+fn start_task_that_fails_and_moves(simulation: &mut Simulation) -> usize {
+    let worker = submit_one_task(simulation);
+    simulation.exit_all_of("j-1/", ExitCause::Error);
+    advance_until_moved(simulation, worker);
+    worker
+}
+
+/// Guards against `ran_twice`.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_failed_task_on_two_machines() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = start_task_that_fails_and_moves(&mut simulation);
+    deliver_copies(&mut simulation, worker);
+    simulation.advance(REAP_TIMEOUT_S);
+    assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
+}
+
+/// Guards against `ran_cancelled`.
+#[test]
+fn copy_of_an_executed_launch_starts_no_task_after_the_cancellation_timeout() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = submit_one_task(&mut simulation);
+    simulation.cancel("j-1");
+    simulation.advance(simulation.cancel_timeout_s() + 1.0);
+    advance_until_reaped(&mut simulation, worker, "j-1/0");
+    deliver_copies(&mut simulation, worker);
+    assert_eq!(simulation.running_count(), 0);
+}
+
+/// Guards against `ran_twice`.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_task_twice_that_failed_under_an_earlier_owner() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = submit_one_task(&mut simulation);
+    simulation.exit_all_of("j-1/", ExitCause::Error);
+    simulation.restart_controller(0);
+    advance_until_moved(&mut simulation, worker);
+    deliver_copies(&mut simulation, worker);
+    simulation.advance(REAP_TIMEOUT_S);
+    assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
+}
+
+/// Guards against `ran_twice`.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_task_twice_after_its_worker_restarted() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = start_task_that_fails_and_moves(&mut simulation);
+    simulation.restart_worker(worker);
+    deliver_copies(&mut simulation, worker);
+    simulation.advance(REAP_TIMEOUT_S);
+    assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
+}
+
+/// Guards against `ran_twice` if a restart of the worker, not a reap, made it forget the attempt.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_task_twice_that_a_worker_restart_ended() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = submit_one_task(&mut simulation);
+    let mut filler = job_desc("j-2", 1);
+    filler.cores = MACHINE_CORES;
+    filler.team = "blue".into();
+    simulation.submit(&filler);
+    simulation.advance(3.0);
+    simulation.restart_worker(worker);
+    for _ in 0..100 {
+        deliver_copies(&mut simulation, worker);
+        simulation.advance(0.1);
+        assert!(simulation.workers_running("j-1/0").len() <= 1);
+    }
+}
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -9,6 +9,7 @@
 mod autoscaling;
 mod cancellation;
 mod characterization;
+mod command_copies;
 mod dependencies;
 mod failing_jobs;
 mod failover;
--- a/src/controller/tests/simulation/worker.rs
+++ b/src/controller/tests/simulation/worker.rs
@@ -158,38 +158,51 @@
             "baton": self.fencing_token, "hands": tasks})
     }
 
-    /// Executes commands. A launch of a task that already has an attempt here has no effect.
+    /// Executes commands in order.
     pub fn execute(&mut self, commands: &[WorkerCommand]) {
         for command in commands {
             match command {
-                WorkerCommand::Launch { task, attempt } => {
-                    if let Entry::Vacant(vacant) = self.tasks.entry(task.clone()) {
-                        vacant.insert(TaskAttempt {
-                            attempt: attempt.0,
-                            state: AttemptState::Running,
-                        });
-                        self.launches.push(Launch {
-                            task: task.clone(),
-                            attempt: attempt.0,
-                        });
-                    }
-                }
-                WorkerCommand::Stop { task, attempt, .. } => {
-                    if let Some(running) = self
-                        .tasks
-                        .get_mut(task)
-                        .filter(|running| running.attempt == attempt.0 && running.is_running())
-                    {
-                        running.exit(ExitCause::Stopped);
-                    }
-                }
-                WorkerCommand::Reap { task, .. } => {
-                    self.tasks.remove(task);
-                }
+                WorkerCommand::Launch { task, attempt } => self.launch(task, attempt.0),
+                WorkerCommand::Stop { task, attempt, .. } => self.stop(task, attempt.0),
+                WorkerCommand::Reap { task, attempt } => self.reap(task, attempt.0),
             }
         }
     }
 
+    /// Starts an attempt. A launch of a task that already has an attempt here has no effect.
+    fn launch(&mut self, task: &str, attempt: u64) {
+        let Entry::Vacant(vacant) = self.tasks.entry(task.into()) else {
+            return;
+        };
+        vacant.insert(TaskAttempt {
+            attempt,
+            state: AttemptState::Running,
+        });
+        self.launches.push(Launch {
+            task: task.into(),
+            attempt,
+        });
+    }
+
+    /// Stops a running attempt.
+    fn stop(&mut self, task: &str, attempt: u64) {
+        let running = self
+            .tasks
+            .get_mut(task)
+            .filter(|running| running.attempt == attempt && running.is_running());
+        if let Some(running) = running {
+            running.exit(ExitCause::Stopped);
+        }
+    }
+
+    /// Forgets an attempt that has exited. Other attempts of the task stay.
+    fn reap(&mut self, task: &str, attempt: u64) {
+        let is_exited = |known: &TaskAttempt| known.attempt == attempt && !known.is_running();
+        if self.tasks.get(task).is_some_and(is_exited) {
+            self.tasks.remove(task);
+        }
+    }
+
     /// Executes a direct command unless its fencing token or agent epoch is outdated. Answers with
     /// a heartbeat in either case.
     pub fn handle_command(&mut self, command: &DirectCommand) -> Heartbeat {
