A reap carries a higher token than the direct launch of its attempt

With the same cause a task of a cancelled job can start after cancel_s, and a team can exceed its limit.

Cause: an answered direct command was taken for gone. The owner raised the token only for direct commands without an answer. A copy of an answered launch thus still had the highest token that the worker had seen, and once the attempt was reaped, the worker started it again.

Fix: an attempt keeps the highest token under which a direct command launched it. A message that reaps it carries a higher token, so the worker forgets the attempt and drops all copies of the launch in one step. An attempt that vanished without a reap is removed only once a heartbeat shows a higher token or a later agent epoch. A machine therefore counts as empty, and its tasks as gone, only when no copy can start anything there. No reap waits, and no message is added.

Still red, listed: copies that reach a worker whose process restarted and has seen no token yet.

--- a/src/controller/tests/command_copies.rs
+++ b/src/controller/tests/command_copies.rs
@@ -2,8 +2,8 @@
 //! later time, and nobody waits for their answers.
 
 use super::simulation::{ExitCause, Simulation};
-use crate::jobs::JobDesc;
 use crate::jobs::tests::job_desc;
+use crate::jobs::{JobDesc, Priority};
 use crate::workers::WorkerCommand;
 
 /// Maximum time in seconds until a task that lost its attempt runs again.
@@ -82,6 +82,31 @@
     assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
 }
 
+/// Guards against `ran_twice`.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_preempted_task_on_two_machines() {
+    let mut simulation = Simulation::builder(1, 2).team_limits(100.0).started();
+    let mut other = job_desc("j-0", 1);
+    other.cores = MACHINE_CORES;
+    other.priority = Priority::Production;
+    other.team = "blue".into();
+    simulation.submit(&other);
+    simulation.advance(3.0);
+    let worker = submit_one_task(&mut simulation);
+    let mut urgent = patient_job("j-2");
+    urgent.cores = MACHINE_CORES;
+    urgent.priority = Priority::Production;
+    simulation.submit(&urgent);
+    simulation.advance_until(REPLACEMENT_TIMEOUT_S, |simulation| {
+        simulation.workers_running("j-2/0") == [worker]
+    });
+    simulation.exit_all_of("j-0/", ExitCause::Done);
+    advance_until_moved(&mut simulation, worker);
+    deliver_copies(&mut simulation, worker);
+    simulation.advance(REAP_TIMEOUT_S);
+    assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
+}
+
 /// Guards against `ran_cancelled`.
 #[test]
 fn copy_of_an_executed_launch_starts_no_task_after_the_cancellation_timeout() {
@@ -94,6 +119,38 @@
     assert_eq!(simulation.running_count(), 0);
 }
 
+/// Guards against `quota`.
+#[test]
+fn copy_of_an_executed_launch_does_not_exceed_the_limit_of_a_team() {
+    let mut simulation = Simulation::started(1, 2);
+    let mut other = job_desc("j-0", 1);
+    other.cores = 14.0;
+    other.team = "blue".into();
+    simulation.submit(&other);
+    simulation.advance(3.0);
+    let worker = submit_one_task(&mut simulation);
+    assert_eq!(simulation.workers_running("j-0/0"), [worker]);
+    simulation.cancel("j-1");
+    advance_until_reaped(&mut simulation, worker, "j-1/0");
+    // The limit is 16 cores, and 8 tasks of 2 cores use it up.
+    simulation.submit(&job_desc("j-2", 8));
+    simulation.advance(3.0);
+    assert_eq!(simulation.running_count_of("j-2/"), 8);
+    deliver_copies(&mut simulation, worker);
+    assert_eq!(simulation.running_count(), 9);
+}
+
+/// Guards against `ran_twice`.
+#[test]
+fn copy_of_an_executed_launch_does_not_run_a_task_twice_after_its_controller_restarted() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = start_task_that_fails_and_moves(&mut simulation);
+    simulation.restart_controller(0);
+    deliver_copies(&mut simulation, worker);
+    simulation.advance(REPLACEMENT_TIMEOUT_S);
+    assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
+}
+
 /// Guards against `ran_twice`.
 #[test]
 fn copy_of_an_executed_launch_does_not_run_a_task_twice_that_failed_under_an_earlier_owner() {
@@ -112,12 +169,24 @@
 fn copy_of_an_executed_launch_does_not_run_a_task_twice_after_its_worker_restarted() {
     let mut simulation = Simulation::started(1, 2);
     let worker = start_task_that_fails_and_moves(&mut simulation);
-    simulation.restart_worker(worker);
+    simulation.workers[worker].restart(simulation.now);
     deliver_copies(&mut simulation, worker);
     simulation.advance(REAP_TIMEOUT_S);
     assert_eq!(simulation.workers_running("j-1/0"), [1 - worker]);
 }
 
+/// Guards against `ran_cancelled`.
+#[test]
+fn copy_of_an_executed_launch_starts_no_cancelled_task_after_its_worker_restarted() {
+    let mut simulation = Simulation::started(1, 2);
+    let worker = submit_one_task(&mut simulation);
+    simulation.cancel("j-1");
+    simulation.advance(simulation.cancel_timeout_s() + 1.0);
+    simulation.workers[worker].restart(simulation.now);
+    deliver_copies(&mut simulation, worker);
+    assert_eq!(simulation.running_count(), 0);
+}
+
 /// Guards against `ran_twice` if a restart of the worker, not a reap, made it forget the attempt.
 #[test]
 fn copy_of_an_executed_launch_does_not_run_a_task_twice_that_a_worker_restart_ended() {
@@ -128,7 +197,7 @@
     filler.team = "blue".into();
     simulation.submit(&filler);
     simulation.advance(3.0);
-    simulation.restart_worker(worker);
+    simulation.workers[worker].restart(simulation.now);
     for _ in 0..100 {
         deliver_copies(&mut simulation, worker);
         simulation.advance(0.1);
--- a/src/controller/tests/simulation/network.rs
+++ b/src/controller/tests/simulation/network.rs
@@ -62,7 +62,8 @@
     pub held_commands: Vec<SentCommand>,
     /// Whether direct commands are held back.
     pub holds_commands: bool,
-    /// Direct commands that reached their worker. A test may deliver copies of them again.
+    /// Direct commands that reached their worker's present process. A test may deliver copies of
+    /// them again.
     pub delivered_commands: Vec<SentCommand>,
     /// Whether heartbeats are copied for late delivery. Heartbeats that an isolated worker could
     /// not send are copied, too.
@@ -194,11 +195,13 @@
     }
 
     /// Restarts a worker's process. The direct commands that were held back on their way to the old
-    /// process are lost, because its connections end with it.
+    /// process, and copies of those that it executed, are lost, because its connections end with
+    /// it.
     pub fn restart_worker(&mut self, index: usize) {
         self.workers[index].restart(self.now);
-        let held = &mut self.network.held_commands;
-        held.retain(|sent| sent.worker != index);
+        let is_to_other = |sent: &SentCommand| sent.worker != index;
+        self.network.held_commands.retain(is_to_other);
+        self.network.delivered_commands.retain(is_to_other);
     }
 
     /// Delivers a late copy of a heartbeat to a controller and returns its answer. Returns `None`
--- a/src/controller/tests/worker_histories.rs
+++ b/src/controller/tests/worker_histories.rs
@@ -1,5 +1,5 @@
 //! Random orders of events at workers, drawn from a seed: restarts beside late heartbeats, lost
-//! answers, and direct commands that are held back.
+//! answers, direct commands that are held back, and copies of direct commands that were executed.
 //!
 //! All machines are new, so that a restarted worker soon counts past the known position, and the
 //! cloud cannot release any. All invariants are checked after each step of the simulation, first of
@@ -8,7 +8,7 @@
 //! `WORKER_HISTORIES=1000..9000 cargo test --release worker_histories` runs other seeds.
 
 use super::seeds::seeds;
-use super::simulation::{Simulation, secs};
+use super::simulation::{ExitCause, Simulation, secs};
 use crate::clock::Micros;
 use crate::jobs::tests::job_desc;
 use crate::workers::Heartbeat;
@@ -28,6 +28,10 @@
 const EVENTS: usize = 60;
 /// Probability that an event hits the same worker as the event before.
 const SAME_WORKER: f64 = 0.7;
+/// Number of the first job.
+const FIRST_JOB_NUMBER: usize = 100;
+/// Prefix of the tasks of the first job.
+const FIRST_JOB: &str = "j-100/";
 /// Times in seconds between two events, from which one is drawn.
 const GAPS_S: [f64; 6] = [0.1, 0.3, 0.7, 1.5, 2.5, 8.0];
 /// Durations in seconds of the faults of a worker, from which one is drawn.
@@ -49,6 +53,8 @@
     HeldCommands,
     /// A direct command that was held back arrives.
     LateCommand,
+    /// Copies of all direct commands that the worker's process has executed arrive.
+    CommandCopies,
     /// A copy of a heartbeat, or one that was held back across a restart, arrives late.
     LateHeartbeat,
     /// A user submits a job.
@@ -57,6 +63,8 @@
     Cancellation,
     /// All running tasks of a worker complete.
     Completion,
+    /// All running tasks of the first job fail.
+    Failure,
     /// A controller restarts.
     ControllerRestart,
 }
@@ -75,7 +83,7 @@
 }
 
 /// The events from which a history is drawn, each with its weight.
-const EVENT_WEIGHTS: [(Event, u32); 12] = [
+const EVENT_WEIGHTS: [(Event, u32); 14] = [
     (Event::WorkerRestart, 6),
     (Event::Fault(Fault::Heartbeats), 5),
     (Event::Fault(Fault::CommandAnswers), 2),
@@ -83,10 +91,12 @@
     (Event::Fault(Fault::Isolation), 1),
     (Event::HeldCommands, 1),
     (Event::LateCommand, 2),
+    (Event::CommandCopies, 4),
     (Event::LateHeartbeat, 6),
     (Event::Submission, 6),
     (Event::Cancellation, 1),
     (Event::Completion, 3),
+    (Event::Failure, 4),
     (Event::ControllerRestart, 1),
 ];
 
@@ -154,10 +164,12 @@
                 network.holds_commands = !network.holds_commands;
             }
             Event::LateCommand => self.deliver_late_command(),
+            Event::CommandCopies => self.deliver_command_copies(index),
             Event::LateHeartbeat => self.deliver_late_heartbeat(),
             Event::Submission => self.submit(),
             Event::Cancellation => self.cancel(),
             Event::Completion => self.simulation.finish_all_of(index),
+            Event::Failure => self.simulation.exit_all_of(FIRST_JOB, ExitCause::Error),
             Event::ControllerRestart => {
                 let controller = self.rng.random_range(0..CONTROLLERS);
                 self.simulation.restart_controller(controller);
@@ -212,6 +224,13 @@
         self.simulation.deliver_command(&command);
     }
 
+    fn deliver_command_copies(&mut self, worker: usize) {
+        let executed = self.simulation.network.delivered_commands.clone();
+        for copy in executed.iter().filter(|sent| sent.worker == worker) {
+            self.simulation.deliver_command(copy);
+        }
+    }
+
     fn deliver_late_heartbeat(&mut self) {
         let copies = if self.rng.random_bool(0.7) {
             &self.held_heartbeats
@@ -227,7 +246,7 @@
     }
 
     fn submit(&mut self) {
-        let id = format!("j-{}", 100 + self.jobs.len());
+        let id = format!("j-{}", FIRST_JOB_NUMBER + self.jobs.len());
         let mut job = job_desc(&id, *[1, 1, 2].choose(&mut self.rng).expect("a count"));
         job.cores = *[1.0, 1.0, 2.0, 8.0].choose(&mut self.rng).expect("a size");
         self.simulation.submit(&job);
@@ -269,7 +288,7 @@
 }
 
 /// Guards against `ran_twice` by any order of restarts, late heartbeats, lost answers and direct
-/// commands, of which the tests in `worker_restarts` are examples; parts 2 to 4 alike.
+/// commands, of which `worker_restarts` and `command_copies` have examples; parts 2 to 4 alike.
 #[test]
 fn random_worker_histories_break_no_invariant_part_1() {
     run_part(0);
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -68,6 +68,10 @@
     /// The token that was raised when the launch was abandoned; `None` if it was not. The attempt
     /// counts as lost once a heartbeat shows this token or a higher one without the attempt.
     abandonment_token: Option<FencingToken>,
+    /// The highest token under which a direct command launched the attempt; `None` if none did. A
+    /// copy of that command may arrive at any time, also long after it was answered. It starts the
+    /// attempt again if the worker has forgotten the attempt and has seen no higher token.
+    direct_launch_token: Option<FencingToken>,
     /// Whether the end of the attempt needs no further record, so that the worker may forget it.
     pub may_be_reaped: bool,
 }
@@ -89,6 +93,7 @@
             unacknowledged_sends: 0,
             stop: None,
             abandonment_token: None,
+            direct_launch_token: None,
             may_be_reaped: false,
         }
     }
@@ -150,6 +155,22 @@
         self.abandonment_token.is_some_and(|token| seen >= token)
     }
 
+    /// Records that a direct command launches the attempt under a token.
+    pub(super) fn record_direct_launch(&mut self, token: FencingToken) {
+        self.direct_launch_token = self.direct_launch_token.max(Some(token));
+    }
+
+    /// Whether a worker that has seen `token` drops every copy of a direct command that launched
+    /// the attempt.
+    pub(super) fn is_launch_fenced_by(&self, token: FencingToken) -> bool {
+        self.direct_launch_token < Some(token)
+    }
+
+    /// Whether the attempt has ended and the worker may forget it.
+    pub(super) fn is_reapable(&self) -> bool {
+        self.has_exited() && self.may_be_reaped
+    }
+
     /// Marks the command to stop the attempt as sent and returns its grace period in seconds.
     /// Returns `None` if the attempt is not to be stopped.
     pub(super) fn send_stop(&mut self) -> Option<f64> {
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -139,11 +139,18 @@
         // A worker that has reaped an attempt has forgotten it, so a delayed launch would run the
         // attempt again. Nothing is reaped while a delayed launch may still arrive.
         let may_reap = self.has_no_command_in_transit();
+        if may_reap {
+            self.fence_launches_of_reaped_attempts();
+        }
+        let token = self.fencing_token();
         let mut commands = Vec::new();
         for (key, attempt) in &mut self.attempts {
             let Some(command) = attempt.command(key, may_reap) else {
                 continue;
             };
+            if route == CommandRoute::Direct && command.is_launch() {
+                attempt.record_direct_launch(token);
+            }
             commands.push(command);
             if route == CommandRoute::Response && attempt.phase != AttemptPhase::Saving {
                 attempt.unacknowledged_sends += 1;
@@ -157,6 +164,18 @@
         commands
     }
 
+    /// Raises the token if a direct command under the present token launched an attempt that is to
+    /// be reaped now. The message that makes the worker forget the attempt thus also makes it drop
+    /// all copies of the launch.
+    fn fence_launches_of_reaped_attempts(&mut self) {
+        let token = self.fencing_token();
+        let is_unfenced =
+            |attempt: &Attempt| attempt.is_reapable() && !attempt.is_launch_fenced_by(token);
+        if self.attempts.values().any(is_unfenced) {
+            self.fencing.raise();
+        }
+    }
+
     /// Whether there is a probe or a command to send before the next heartbeat.
     pub fn needs_direct_command(&self) -> bool {
         self.needs_probe() || self.attempts.values().any(Attempt::has_unsent_command)
@@ -175,7 +194,7 @@
                 Some(WorkerCommand::Launch { task, attempt })
             }
             AttemptPhase::Exited => {
-                (self.may_be_reaped && may_reap).then_some(WorkerCommand::Reap { task, attempt })
+                (self.is_reapable() && may_reap).then_some(WorkerCommand::Reap { task, attempt })
             }
             _ => {
                 let grace_period_s = self.send_stop()?;
--- a/src/workers/commands/tests.rs
+++ b/src/workers/commands/tests.rs
@@ -3,7 +3,7 @@
 use crate::clock::Micros;
 use crate::ids::FencingToken;
 use crate::workers::tests::{heartbeat, launch, launch_count, machine};
-use crate::workers::{CommandRoute, WorkerCommand};
+use crate::workers::{CommandRoute, Machine, WorkerCommand};
 
 /// Guards against a launch that is lost with its response and never sent again, and against the
 /// capacity of such an attempt being counted as free.
@@ -76,3 +76,49 @@
         [WorkerCommand::Stop { .. }]
     ));
 }
+
+/// Launches an attempt on a route, lets it fail, and returns the token of the launch and the machine,
+/// whose next commands reap the attempt.
+fn machine_with_failed_attempt(route: CommandRoute) -> (FencingToken, Machine) {
+    let mut machine = machine();
+    let key = launch(&mut machine, "j-1/0", 7);
+    if route == CommandRoute::Direct {
+        machine.record_direct_command_sent(false, Micros::ZERO);
+    }
+    assert!(machine.commands(route).iter().any(WorkerCommand::is_launch));
+    let token = machine.fencing_token();
+    if route == CommandRoute::Direct {
+        machine.record_direct_command_reply();
+    }
+    let failed = heartbeat("m", 1, 1, token, &[("j-1/0", 7, "exited", "error")]);
+    machine.reconcile(Micros(1), &failed);
+    machine.attempts.get_mut(&key).expect("kept").may_be_reaped = true;
+    (token, machine)
+}
+
+/// Guards against a task that runs twice: the worker forgets a reaped attempt, and starts it again
+/// when a copy of the direct command that launched it arrives under the highest token that it has
+/// seen.
+#[test]
+fn a_reap_carries_a_higher_token_than_the_direct_launch() {
+    let (launch_token, mut machine) = machine_with_failed_attempt(CommandRoute::Direct);
+    assert!(matches!(
+        machine.commands(CommandRoute::Response)[..],
+        [WorkerCommand::Reap { .. }]
+    ));
+    let reap_token = machine.fencing_token();
+    assert!(reap_token > launch_token);
+    machine.commands(CommandRoute::Response);
+    assert_eq!(machine.fencing_token(), reap_token, "raised only once");
+}
+
+/// Guards against raised tokens that fence nothing: a response takes effect once or never.
+#[test]
+fn a_reap_keeps_the_token_if_no_direct_command_launched_the_attempt() {
+    let (launch_token, mut machine) = machine_with_failed_attempt(CommandRoute::Response);
+    assert!(matches!(
+        machine.commands(CommandRoute::Response)[..],
+        [WorkerCommand::Reap { .. }]
+    ));
+    assert_eq!(machine.fencing_token(), launch_token);
+}
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -200,7 +200,8 @@
         reported
     }
 
-    /// Removes those attempts missing from the heartbeat that are guaranteed to have ended.
+    /// Removes those attempts missing from the heartbeat that are guaranteed to have ended. Raises
+    /// the token if a copy of the direct command that launched one of them could start it again.
     fn reconcile_unreported(
         &mut self,
         reported: &BTreeSet<AttemptKey>,
@@ -209,22 +210,30 @@
         events: &mut Vec<AttemptEvent>,
     ) {
         let no_command_in_transit = self.has_no_command_in_transit();
+        let token = self.fencing_token();
+        let mut is_raise_needed = false;
         self.attempts.retain(|key, attempt| {
             if reported.contains(key) {
                 return true;
             }
+            let is_fenced = epoch_ended || attempt.is_launch_fenced_by(seen);
             let has_ended = match attempt.phase {
                 // The launch may still arrive. The attempt stays, and its launch is sent again,
                 // until the agent epoch ends or the worker has seen the token that fences it.
                 AttemptPhase::Launching => epoch_ended || attempt.is_fenced_by(seen),
-                AttemptPhase::Exited => true,
-                _ => epoch_ended || no_command_in_transit,
+                AttemptPhase::Exited => is_fenced,
+                _ => epoch_ended || no_command_in_transit && is_fenced,
             };
             if has_ended && !attempt.has_exited() {
                 events.push(AttemptEvent::Lost(key.clone()));
             }
+            is_raise_needed |=
+                attempt.is_shown() && !is_fenced && !attempt.is_launch_fenced_by(token);
             !has_ended
         });
+        if is_raise_needed {
+            self.fencing.raise();
+        }
     }
 }
 
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -57,6 +57,26 @@
     assert!(!machine.is_unconfirmed());
 }
 
+/// Guards against a task that runs twice: a worker that has lost an attempt without a reap starts it
+/// again when a copy of the direct command that launched it arrives.
+#[test]
+fn an_attempt_that_vanished_counts_as_lost_only_once_copies_of_its_launch_are_fenced() {
+    let mut machine = machine();
+    let key = launch(&mut machine, "j-1/0", 7);
+    machine.record_direct_command_sent(false, Micros::ZERO);
+    assert_eq!(machine.commands(CommandRoute::Direct).len(), 1);
+    machine.record_direct_command_reply();
+    let token = machine.fencing_token();
+    let running = heartbeat("m", 1, 1, token, &[("j-1/0", 7, "running", "")]);
+    machine.reconcile(Micros(1), &running);
+    let events = machine.reconcile(Micros(2), &heartbeat("m", 1, 2, token, &[]));
+    assert_eq!(events, vec![]);
+    let raised = machine.fencing_token();
+    assert!(raised > token);
+    let events = machine.reconcile(Micros(3), &heartbeat("m", 1, 3, raised, &[]));
+    assert_eq!(events, vec![AttemptEvent::Lost(key)]);
+}
+
 /// Guards against a malformed heartbeat that stops the controller or creates an attempt.
 #[test]
 fn malformed_heartbeats_are_rejected_or_change_nothing() {
