Log lines that show which command started, stopped or forgot an attempt

New, at debug: each command with machine, agent epoch, token and route (`command sent`), and a direct command that a worker refused (`direct command refused`). At info: an attempt that the owner counted as gone and a worker shows again (`attempt reappeared`), the first token with `partition acquired`, and in `partition usage recorded` how often tokens were raised and how many attempts reappeared.

--- a/crates/rockdeal-types/src/ids.rs
+++ b/crates/rockdeal-types/src/ids.rs
@@ -138,6 +138,11 @@
     pub fn of(term: Term, counter: u64) -> AttemptId {
         AttemptId((term.0 << EPOCH_BITS) + counter)
     }
+
+    /// Whether the id was issued under a term.
+    pub fn is_of_term(self, term: Term) -> bool {
+        self.0 >> EPOCH_BITS == term.0
+    }
 }
 
 /// Largest number of digits in a job id.
--- a/crates/rockdeal-types/tests/ids.rs
+++ b/crates/rockdeal-types/tests/ids.rs
@@ -1,6 +1,6 @@
 //! Tests of the form of identifiers and of the order of fencing tokens.
 
-use rockdeal_types::ids::{FencingToken, JobId, TaskId, Term};
+use rockdeal_types::ids::{AttemptId, FencingToken, JobId, TaskId, Term};
 
 /// Guards against workers that obey an earlier owner because of its high epoch.
 #[test]
@@ -9,6 +9,14 @@
     assert!(FencingToken::of(Term(3), 1) > FencingToken::of(Term(3), 0));
 }
 
+/// Guards against attempts of an earlier owner that are taken for the present owner's.
+#[test]
+fn attempt_id_belongs_to_the_term_that_issued_it() {
+    let attempt = AttemptId::of(Term(3), 7);
+    assert!(attempt.is_of_term(Term(3)));
+    assert!(!attempt.is_of_term(Term(2)) && !attempt.is_of_term(Term(4)));
+}
+
 /// Guards against malformed ids from users and workers that are taken as valid.
 #[test]
 fn only_well_formed_job_and_task_ids_are_accepted() {
--- a/src/controller/core/owned_partitions.rs
+++ b/src/controller/core/owned_partitions.rs
@@ -5,7 +5,7 @@
 
 use super::Core;
 use crate::clock::Micros;
-use crate::ids::{PartitionId, Term};
+use crate::ids::{FencingToken, PartitionId, Term};
 use crate::partition_owner::OwnedPartition;
 use crate::partitions::PartitionOwnerRecord;
 use crate::store::Versioned;
@@ -94,7 +94,8 @@
             if !self.is_own_grant(record) || self.partitions.partitions.contains_key(id) {
                 continue;
             }
-            tracing::info!(partition = %id, term = %record.term, "partition acquired");
+            let first_token = FencingToken::of(record.term, 0);
+            tracing::info!(partition = %id, term = %record.term, %first_token, "partition acquired");
             let mut partition = OwnedPartition::new(
                 *id,
                 record,
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -23,11 +23,28 @@
         return DirectAnswer::NotSent;
     };
     match worker.send(&request, within).await {
-        Ok((200 | 409, body)) => match serde_json::from_slice::<Heartbeat>(&body) {
-            Ok(heartbeat) => DirectAnswer::Heartbeat(heartbeat),
+        Ok((status @ (200 | 409), body)) => match serde_json::from_slice::<Heartbeat>(&body) {
+            Ok(heartbeat) => {
+                if status == 409 {
+                    log_refusal(&command, &heartbeat);
+                }
+                DirectAnswer::Heartbeat(heartbeat)
+            }
             Err(_) => DirectAnswer::Indeterminate,
         },
         Err(RequestError::NotSent) => DirectAnswer::NotSent,
         Ok(_) | Err(RequestError::NoAnswer) => DirectAnswer::Indeterminate,
     }
 }
+
+/// Logs that a worker refused a command because of its fencing token or agent epoch.
+fn log_refusal(command: &DirectCommand, heartbeat: &Heartbeat) {
+    tracing::debug!(
+        machine = %heartbeat.machine,
+        token = %command.fencing_token,
+        agent_epoch = command.agent_epoch,
+        seen_token = %heartbeat.fencing_token,
+        current_agent_epoch = heartbeat.agent_epoch,
+        "direct command refused"
+    );
+}
--- a/src/partition_owner/attempt_events.rs
+++ b/src/partition_owner/attempt_events.rs
@@ -45,6 +45,9 @@
         phase: AttemptPhase,
         cause: Option<ExitCause>,
     ) {
+        if key.attempt.is_of_term(self.term()) {
+            self.record_reappearance(machine_id, &key, phase);
+        }
         let job = self.jobs.get(&key.task.job);
         let mut attempt = Attempt::new(phase, now, job.map(|job| (job.team, &job.desc)));
         attempt.cause = cause;
@@ -69,6 +72,13 @@
         }
     }
 
+    /// Records that a worker shows an attempt which this owner launched and then counted as gone.
+    /// Only a message that took effect too late can have started it again.
+    fn record_reappearance(&mut self, machine: &MachineId, key: &AttemptKey, phase: AttemptPhase) {
+        self.reappeared_attempts += 1;
+        tracing::info!(partition = %self.id(), %machine, task = %key.task, attempt = %key.attempt, ?phase, "attempt reappeared");
+    }
+
     /// Returns whether a task may be on the machine that reports it. Records a live attempt as
     /// the task's active one unless the task is done or was started elsewhere.
     fn claim_task(
--- a/src/partition_owner/capacity.rs
+++ b/src/partition_owner/capacity.rs
@@ -69,6 +69,7 @@
             *waiting.entry(&job.desc.class).or_default() += job.waiting().len();
         }
         let bound_to_lost_zones = self.tasks_bound_to_lost_zones();
+        let raised_tokens: u64 = machines().map(Machine::raised_tokens).sum();
         let behind_others = self.jobs.values().filter(|job| !job.is_ready()).count();
         tracing::info!(
             partition = %self.id(),
@@ -84,6 +85,8 @@
             pending_commands = self.direct_commands.pending_count(),
             machines_compared = self.machines_compared(),
             late_ticks = self.liveness.late_ticks(),
+            raised_tokens,
+            reappeared_attempts = self.reappeared_attempts,
             "partition usage recorded"
         );
     }
--- a/src/partition_owner/direct_commands.rs
+++ b/src/partition_owner/direct_commands.rs
@@ -5,6 +5,7 @@
 //! bring the fencing token to machines that have not shown it. At most one direct command to
 //! each machine, and a bounded number in all, is in flight at a time.
 
+use super::command_log::CommandMessage;
 use super::{Effect, OwnedPartition};
 use crate::clock::Micros;
 use crate::ids::MachineId;
@@ -81,6 +82,14 @@
                 NextCommand::Nothing => not_needed.push(id.clone()),
                 NextCommand::Wait => {}
                 NextCommand::Send(command) => {
+                    let message = CommandMessage {
+                        partition: self.ownership.partition(),
+                        machine: id,
+                        route: CommandRoute::Direct,
+                        token: command.fencing_token,
+                        agent_epoch: command.agent_epoch,
+                    };
+                    message.log(&command.commands);
                     let addr = machine.spec.addr.clone();
                     effects.push(Effect::SendDirectCommand(id.clone(), addr, command));
                 }
--- a/src/partition_owner/heartbeats.rs
+++ b/src/partition_owner/heartbeats.rs
@@ -5,6 +5,7 @@
 //! fencing token of this owner's term.
 
 use super::OwnedPartition;
+use super::command_log::CommandMessage;
 use super::direct_commands::DirectCommandQueue;
 use crate::clock::Micros;
 use crate::fairness::Resources;
@@ -55,8 +56,17 @@
             Vec::new()
         };
         machine.record_response(now, heartbeat);
+        let token = machine.fencing_token();
+        let message = CommandMessage {
+            partition: self.ownership.partition(),
+            machine: &heartbeat.machine,
+            route: CommandRoute::Response,
+            token,
+            agent_epoch: heartbeat.agent_epoch,
+        };
+        message.log(&commands);
         Some(HeartbeatResponse {
-            fencing_token: machine.fencing_token(),
+            fencing_token: token,
             commands,
             valid_until,
         })
--- a/src/partition_owner/mod.rs
+++ b/src/partition_owner/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt_events;
 mod capacity;
+mod command_log;
 mod direct_commands;
 mod effects;
 mod failback;
@@ -88,6 +89,8 @@
     /// `None` if zone failover is disabled.
     zone_evacuation: Option<ZoneEvacuation>,
     checks: PeriodicChecks,
+    /// Number of attempts that this owner counted as gone and that a worker showed again.
+    reappeared_attempts: u32,
 }
 
 impl OwnedPartition {
@@ -123,6 +126,7 @@
             hand_back: HandBack::NotRequested,
             zone_evacuation: None,
             checks: PeriodicChecks::new(now),
+            reappeared_attempts: 0,
             ownership,
         }
     }
--- a/src/workers/fencing.rs
+++ b/src/workers/fencing.rs
@@ -52,6 +52,11 @@
         FencingToken::of(self.term, self.fencing_epoch)
     }
 
+    /// Returns how often the token was raised.
+    pub(super) fn raised_tokens(&self) -> u64 {
+        self.fencing_epoch
+    }
+
     /// Raises the token, which fences all commands sent before, including delayed direct commands.
     /// A heartbeat that shows the raised token was created after this call.
     /// This needs no access to the key-value store: the term belongs to this owner alone, and so
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -77,6 +77,11 @@
         self.fencing.token()
     }
 
+    /// Returns how often the fencing token was raised since this owner received the machine.
+    pub fn raised_tokens(&self) -> u64 {
+        self.fencing.raised_tokens()
+    }
+
     /// Returns the agent epoch to which direct commands are addressed. A worker that is in
     /// another epoch rejects the command and replies with a new heartbeat.
     pub fn target_agent_epoch(&self) -> u64 {
