--- a/src/controller/core/store_reader.rs
+++ b/src/controller/core/store_reader.rs
@@ -8,6 +8,7 @@
 use crate::clock::Micros;
 use crate::controller::messages::{Effect, StoreChanges, StoreSnapshot};
 use crate::ids::{JobId, PartitionId, Revision};
+use crate::partition_owner::ShardRead;
 use crate::store::{Versioned, WatchEvent};
 use crate::watch_cache::{CacheChange, WatchCache};
 
@@ -156,7 +157,7 @@
             let id = partition.id();
             let shards = changed.machine_shards.iter();
             for (_, shard) in shards.filter(|(partition, _)| *partition == id) {
-                partition.reconcile_shard(now, *shard, cache, &types, false);
+                partition.reconcile_shard(now, *shard, cache, &types, ShardRead::AfterChange);
             }
         }
     }
--- a/src/partition_owner/heartbeats.rs
+++ b/src/partition_owner/heartbeats.rs
@@ -9,6 +9,7 @@
 use super::direct_commands::DirectCommandQueue;
 use crate::clock::Micros;
 use crate::fairness::Resources;
+use crate::ids::PartitionId;
 use crate::workers::{CommandRoute, Heartbeat, HeartbeatOrder, HeartbeatResponse, Machine};
 
 /// Result of checking a heartbeat.
@@ -72,43 +73,30 @@
         })
     }
 
+    /// Checks a heartbeat and updates the state from it.
     fn receive_heartbeat(&mut self, now: Micros, heartbeat: &Heartbeat) -> HeartbeatVerdict {
         let machine = self.machines.get_mut(&heartbeat.machine);
         let Some(machine) = machine.filter(|machine| machine.is_active()) else {
             return HeartbeatVerdict::Rejected;
         };
         let order = machine.order(heartbeat);
-        if order == HeartbeatOrder::Stale {
-            // A delayed or duplicated heartbeat does not even show that the machine is alive.
+        let verdict = verdict(machine, order, heartbeat);
+        if order == HeartbeatOrder::Stale || verdict == HeartbeatVerdict::TokenOutdated {
             record_stale(machine, &mut self.direct_commands, heartbeat);
-            return HeartbeatVerdict::Rejected;
         }
-        if heartbeat.fencing_token > machine.fencing_token() {
-            // Another controller owns this machine under a higher term. The worker would drop
-            // this owner's response, but keep sending its heartbeats here until its lease
-            // expires.
-            return HeartbeatVerdict::Rejected;
+        if verdict == HeartbeatVerdict::Rejected {
+            return verdict;
         }
         if !machine.used {
             self.machine_writes.request_use_write();
         }
-        match order {
-            HeartbeatOrder::NewerAfterRestart => {
-                tracing::info!(partition = %self.ownership.partition(), machine = %heartbeat.machine, "worker restarted");
-            }
-            HeartbeatOrder::Ambiguous => {
-                tracing::info!(partition = %self.ownership.partition(), machine = %heartbeat.machine, "heartbeat of a restarted worker or from before its restart");
-            }
-            HeartbeatOrder::Newer | HeartbeatOrder::Stale => {}
-        }
-        if !order.is_newer() || !machine.shows_term(heartbeat) {
-            record_stale(machine, &mut self.direct_commands, heartbeat);
-            return HeartbeatVerdict::TokenOutdated;
+        log_restart(self.ownership.partition(), order, heartbeat);
+        if verdict == HeartbeatVerdict::Accepted {
+            machine.record_heartbeat(now);
+            self.liveness.record_heartbeat(now);
+            self.reconcile_heartbeat(now, heartbeat);
         }
-        machine.record_heartbeat(now);
-        self.liveness.record_heartbeat(now);
-        self.reconcile_heartbeat(now, heartbeat);
-        HeartbeatVerdict::Accepted
+        verdict
     }
 
     /// Updates the state from an accepted heartbeat or an accepted reply to a direct command.
@@ -132,6 +120,38 @@
     }
 }
 
+/// Decides whether a heartbeat of an active machine is accepted.
+fn verdict(machine: &Machine, order: HeartbeatOrder, heartbeat: &Heartbeat) -> HeartbeatVerdict {
+    if order == HeartbeatOrder::Stale {
+        // A delayed or duplicated heartbeat does not even show that the machine is alive.
+        return HeartbeatVerdict::Rejected;
+    }
+    if heartbeat.fencing_token > machine.fencing_token() {
+        // Another controller owns this machine under a higher term. The worker would drop this
+        // owner's response, but keep sending its heartbeats here until its lease expires.
+        return HeartbeatVerdict::Rejected;
+    }
+    if order.is_newer() && machine.shows_term(heartbeat) {
+        HeartbeatVerdict::Accepted
+    } else {
+        HeartbeatVerdict::TokenOutdated
+    }
+}
+
+/// Logs a heartbeat that a restart of the worker explains.
+fn log_restart(partition: PartitionId, order: HeartbeatOrder, heartbeat: &Heartbeat) {
+    let machine = &heartbeat.machine;
+    match order {
+        HeartbeatOrder::NewerAfterRestart => {
+            tracing::info!(%partition, %machine, "worker restarted");
+        }
+        HeartbeatOrder::Ambiguous => {
+            tracing::info!(%partition, %machine, "heartbeat of a restarted worker or from before its restart");
+        }
+        HeartbeatOrder::Newer | HeartbeatOrder::Stale => {}
+    }
+}
+
 /// Records a stale heartbeat, and requests a direct command if one is needed to find out the state
 /// of the worker.
 fn record_stale(machine: &mut Machine, queue: &mut DirectCommandQueue, heartbeat: &Heartbeat) {
--- a/src/partition_owner/mod.rs
+++ b/src/partition_owner/mod.rs
@@ -36,6 +36,7 @@
 mod zone_evacuation;
 
 pub use effects::{Effect, ProgressPages, UnreapedAttempt, Write};
+pub use reconcile::ShardRead;
 pub use zone_counts::MachineCounts;
 
 use crate::clock::Micros;
--- a/src/partition_owner/reconcile.rs
+++ b/src/partition_owner/reconcile.rs
@@ -17,6 +17,16 @@
 /// Rate at which a machine of an unknown type is assumed to fetch images.
 const DEFAULT_IMAGE_FETCH_GB_PER_S: f64 = 1.0;
 
+/// Why a shard of machine records is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShardRead {
+    /// The partition has just been granted: the shard's used machines may run any task of the
+    /// earlier owner.
+    AtGrant,
+    /// The shard may have changed in the store.
+    AfterChange,
+}
+
 impl OwnedPartition {
     /// Loads the partition's machines and jobs from the cache when the partition is granted. The
     /// attempts that are running are known only from heartbeats: until a machine has sent one
@@ -26,7 +36,7 @@
         self.machine_types = types.into();
         let shards: Vec<u32> = cache.shards(self.id()).map(|(shard, ..)| shard).collect();
         for shard in shards {
-            self.reconcile_shard(now, shard, cache, types, true);
+            self.reconcile_shard(now, shard, cache, types, ShardRead::AtGrant);
         }
         let jobs: Vec<JobId> = cache.jobs.keys().cloned().collect();
         for id in jobs {
@@ -41,7 +51,7 @@
         let stored = cache.shards(self.id()).map(|(shard, ..)| shard);
         let shards: BTreeSet<u32> = known.chain(stored).collect();
         for shard in shards {
-            self.reconcile_shard(now, shard, cache, types, false);
+            self.reconcile_shard(now, shard, cache, types, ShardRead::AfterChange);
         }
         let jobs: BTreeSet<JobId> = self.jobs.keys().chain(cache.jobs.keys()).cloned().collect();
         for id in jobs {
@@ -52,26 +62,22 @@
         }
     }
 
-    /// Reconciles the machines with a shard that changed in the store. `at_grant` says that the
-    /// shard is read for the first time after a failover, so that its used machines may run any
-    /// task of the earlier owner.
+    /// Reconciles the machines with the record of their shard in the store.
     pub fn reconcile_shard(
         &mut self,
         now: Micros,
         shard: u32,
         cache: &WatchCache,
         types: &[MachineType],
-        at_grant: bool,
+        read: ShardRead,
     ) {
         self.remove_lost_machines(shard, cache);
         let Some(Versioned { revision, record }) = cache.machine_shards.get(&(self.id(), shard))
         else {
             return;
         };
-        for (id, record) in &record.0 {
-            if record.release_reason.is_some() {
-                continue;
-            }
+        let in_use = record.0.iter();
+        for (id, record) in in_use.filter(|(_, record)| record.release_reason.is_none()) {
             match self.machines.get_mut(id) {
                 Some(machine) => {
                     machine.spec.shard = shard;
@@ -79,11 +85,8 @@
                     machine.record_shard_revision(*revision);
                 }
                 None => {
-                    let mut machine = self.machine_of(now, shard, record, types);
-                    machine.set_unconfirmed(at_grant && record.used);
-                    machine.load = machine.compute_load();
-                    self.usage.add(&machine.load, machine.spec.capacity);
-                    self.machines.insert(id.clone(), machine);
+                    let machine = self.machine_of(now, shard, record, types);
+                    self.add_machine(id, machine, read);
                 }
             }
         }
@@ -91,6 +94,14 @@
         self.scheduling.request_pass();
     }
 
+    /// Adds a machine to the partition.
+    fn add_machine(&mut self, id: &MachineId, mut machine: Machine, read: ShardRead) {
+        machine.set_unconfirmed(read == ShardRead::AtGrant && machine.used);
+        machine.load = machine.compute_load();
+        self.usage.add(&machine.load, machine.spec.capacity);
+        self.machines.insert(id.clone(), machine);
+    }
+
     /// Removes a shard's machines that are not recorded in the partition any more, and requeues
     /// their tasks. Nothing runs on such a machine: either this owner released it while it was
     /// idle, or the leader removed it after the cloud had reported it as lost.
--- a/src/partition_owner/tests.rs
+++ b/src/partition_owner/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of a partition's owner against a watch cache and heartbeats that the tests provide:
 //! release of silent and idle machines, splitting of oversize shards, zone counts, hand-back.
 
-use super::{Effect, OwnedPartition, Write};
+use super::{Effect, OwnedPartition, ShardRead, Write};
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::{FencingToken, MachineId, PartitionId, Revision, Term};
@@ -115,7 +115,7 @@
     fn reconcile_shard(&mut self, now: Micros) {
         let cache = &self.cache;
         self.owner
-            .reconcile_shard(now, 0, cache, &machine_types(), false);
+            .reconcile_shard(now, 0, cache, &machine_types(), ShardRead::AfterChange);
     }
 
     /// Delivers a heartbeat of m-1, and then a tick of the owner.
