A quarantine of a machine ends after 45 s, also while the machine is in use

The random worker histories met it as soon as tasks of any job may fail.

Cause: a machine on which tasks of two jobs failed was quarantined until nothing ran on it any more. With an earlier task on it, it was neither released nor used.

Fix: a quarantine has an end, after which the failures that led to it are forgotten. Idle machines in quarantine are released at once, as before.

Evidence: quarantined_machine_in_use_gets_tasks_again_within_90_seconds and all four parts of worker_histories (failures of any job) failed on the code before and pass now.

--- a/src/controller/tests/failing_jobs.rs
+++ b/src/controller/tests/failing_jobs.rs
@@ -21,6 +21,29 @@
     assert_eq!(simulation.workers_running("j-2/0").len(), 1);
 }
 
+/// Guards against a job that is left waiting for 90 s beside a machine with room: tasks of two jobs
+/// failed there while it was in use, and its use goes on.
+#[test]
+fn quarantined_machine_in_use_gets_tasks_again_within_90_seconds() {
+    let mut simulation = Simulation::started(1, 1);
+    simulation.cloud.is_unreachable = true;
+    for id in ["j-1", "j-2", "j-3"] {
+        simulation.submit(&job_desc(id, 1));
+    }
+    simulation.advance(3.0);
+    assert_eq!(simulation.running_count(), 3);
+    for id in ["j-2", "j-3"] {
+        simulation.exit_all_of(id, ExitCause::Error);
+    }
+    simulation.advance(2.0);
+    simulation.cancel("j-2");
+    simulation.cancel("j-3");
+    simulation.submit(&job_desc("j-4", 1));
+    simulation.advance(3.0);
+    assert_eq!(simulation.running_count(), 1, "the machine is quarantined");
+    simulation.advance_until(87.0, |simulation| simulation.running_count_of("j-4/") == 1);
+}
+
 /// Guards against a team that was scheduled first because its tasks failed immediately. They held
 /// no cores, so the team had the lowest weighted usage (heaviness).
 #[test]
--- a/src/controller/tests/simulation/steps.rs
+++ b/src/controller/tests/simulation/steps.rs
@@ -126,11 +126,11 @@
         }
     }
 
-    /// Makes all running tasks of a worker exit successfully.
-    pub fn finish_all_of(&mut self, worker: usize) {
+    /// Makes all running tasks of a worker exit.
+    pub fn exit_all_on(&mut self, worker: usize, cause: ExitCause) {
         let attempts = self.workers[worker].tasks.values_mut();
         for attempt in attempts.filter(|attempt| attempt.is_running()) {
-            attempt.exit(ExitCause::Done);
+            attempt.exit(cause);
         }
     }
 
--- a/src/controller/tests/worker_histories.rs
+++ b/src/controller/tests/worker_histories.rs
@@ -31,10 +31,6 @@
 const EVENTS: usize = 60;
 /// Probability that an event hits the same worker as the event before.
 const SAME_WORKER: f64 = 0.7;
-/// Number of the first job.
-const FIRST_JOB_NUMBER: usize = 100;
-/// Prefix of the tasks of the first job.
-const FIRST_JOB: &str = "j-100/";
 /// Times in seconds between two events, from which one is drawn.
 const GAPS_S: [f64; 6] = [0.1, 0.3, 0.7, 1.5, 2.5, 8.0];
 /// Durations in seconds of the faults of a worker, from which one is drawn.
@@ -113,8 +109,8 @@
             Event::LateHeartbeat => self.deliver_late_heartbeat(),
             Event::Submission => self.submit(),
             Event::Cancellation => self.cancel(),
-            Event::Completion => self.simulation.finish_all_of(index),
-            Event::Failure => self.simulation.exit_all_of(FIRST_JOB, ExitCause::Error),
+            Event::Completion => self.simulation.exit_all_on(index, ExitCause::Done),
+            Event::Failure => self.simulation.exit_all_on(index, ExitCause::Error),
             Event::ControllerRestart => {
                 let controller = self.rng.random_range(0..CONTROLLERS);
                 self.simulation.restart_controller(controller);
@@ -191,7 +187,7 @@
     }
 
     fn submit(&mut self) {
-        let id = format!("j-{}", FIRST_JOB_NUMBER + self.jobs.len());
+        let id = format!("j-{}", 100 + self.jobs.len());
         let mut job = job_desc(&id, *[1, 1, 2].choose(&mut self.rng).expect("a count"));
         job.cores = *[1.0, 1.0, 2.0, 8.0].choose(&mut self.rng).expect("a size");
         self.simulation.submit(&job);
--- a/src/controller/tests/worker_histories/event.rs
+++ b/src/controller/tests/worker_histories/event.rs
@@ -21,7 +21,7 @@
     Cancellation,
     /// All running tasks of a worker complete.
     Completion,
-    /// All running tasks of the first job fail.
+    /// All running tasks of a worker fail.
     Failure,
     /// A controller restarts.
     ControllerRestart,
--- a/src/partition_owner/attempt_events.rs
+++ b/src/partition_owner/attempt_events.rs
@@ -167,7 +167,7 @@
         let failed_here = failed_jobs.filter(|id| !fails_elsewhere(id)).count();
         if failed_here >= QUARANTINE_FAILED_JOBS && machine.is_schedulable() {
             tracing::info!(partition = %self.ownership.partition(), machine = %machine_id, "machine quarantined");
-            machine.quarantine();
+            machine.quarantine(now);
         }
     }
 }
--- a/src/partition_owner/periodic_checks.rs
+++ b/src/partition_owner/periodic_checks.rs
@@ -71,6 +71,7 @@
     fn run_periodic_checks(&mut self, now: Micros) {
         self.scheduling.retain_failing_jobs(&self.jobs);
         self.expire_worker_leases(now);
+        self.lift_quarantines(now);
         self.request_probes(now);
         self.stop_before_preemption(now);
         self.update_recovery(now);
@@ -80,6 +81,16 @@
         self.scheduling.request_pass_if(has_waiting_work);
     }
 
+    /// Ends the quarantines whose time is over, so that no job waits for ever beside a machine that
+    /// stays in use and has room.
+    fn lift_quarantines(&mut self, now: Micros) {
+        for (id, machine) in &mut self.machines {
+            if machine.lift_ended_quarantine(now) {
+                tracing::info!(partition = %self.ownership.partition(), machine = %id, "machine quarantine ended");
+            }
+        }
+    }
+
     /// Requeues the tasks of machines whose worker's lease has expired. By then the worker has
     /// stopped all its attempts.
     fn expire_worker_leases(&mut self, now: Micros) {
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -15,6 +15,10 @@
 use crate::jobs::ImageKey;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Time for which no tasks are launched on a machine on which tasks of several jobs failed. If it has
+/// no other tasks, the machine is released before that.
+const QUARANTINE_DURATION: Micros = Micros::from_millis(45_000);
+
 /// The owner's state of one machine.
 #[derive(Debug)]
 pub struct Machine {
@@ -182,9 +186,20 @@
         self.schedulability.cordon();
     }
 
-    /// Quarantines the machine because tasks fail on it: no more tasks are launched on it.
-    pub fn quarantine(&mut self) {
-        self.schedulability.quarantine();
+    /// Quarantines the machine because tasks fail on it: no tasks are launched on it for
+    /// `QUARANTINE_DURATION`.
+    pub fn quarantine(&mut self, now: Micros) {
+        self.schedulability.quarantine(now + QUARANTINE_DURATION);
+    }
+
+    /// Ends a quarantine whose time is over, and forgets the failures that led to it. Returns
+    /// whether there was one.
+    pub fn lift_ended_quarantine(&mut self, now: Micros) -> bool {
+        let has_ended = self.schedulability.lift_ended_quarantine(now);
+        if has_ended {
+            self.failures.clear();
+        }
+        has_ended
     }
 
     /// Returns the state of the machine's release from the partition.
--- a/src/workers/schedulability.rs
+++ b/src/workers/schedulability.rs
@@ -1,5 +1,7 @@
 //! Whether tasks may be launched on a machine, as far as the behaviour of the machine decides.
 
+use crate::clock::Micros;
+
 /// Whether tasks may be launched on a machine, and the reason if not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) enum Schedulability {
@@ -9,8 +11,11 @@
     /// The machine is silent. No tasks are launched on it until one of its heartbeats is accepted
     /// again.
     Cordoned,
-    /// Tasks of several jobs failed on the machine. No more tasks are launched on it.
-    Quarantined,
+    /// Tasks of several jobs failed on the machine. No tasks are launched on it for some time.
+    Quarantined {
+        /// Instant from which tasks may be launched on the machine again.
+        until: Micros,
+    },
 }
 
 impl Schedulability {
@@ -34,10 +39,19 @@
     }
 
     /// Quarantines an open machine. A cordoned one stays cordoned.
-    pub(super) fn quarantine(&mut self) {
+    pub(super) fn quarantine(&mut self, until: Micros) {
         if self.is_open() {
-            *self = Schedulability::Quarantined;
+            *self = Schedulability::Quarantined { until };
+        }
+    }
+
+    /// Lifts a quarantine that has ended, and returns whether there was one.
+    pub(super) fn lift_ended_quarantine(&mut self, now: Micros) -> bool {
+        let has_ended = matches!(*self, Schedulability::Quarantined { until } if now >= until);
+        if has_ended {
+            *self = Schedulability::Open;
         }
+        has_ended
     }
 }
 
