--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -68,8 +68,8 @@
     /// The token that was raised when the launch was abandoned; `None` if it was not. The attempt
     /// counts as lost once a heartbeat shows this token or a higher one without the attempt.
     abandonment_token: Option<FencingToken>,
-    /// The highest token under which a direct command launched the attempt; `None` if none did. A
-    /// copy of that command may arrive at any time, also long after it was answered. It starts the
+    /// The last and so the highest token under which a direct command launched the attempt; `None`
+    /// if none did. A copy of that command may arrive at any time, also long after it was answered. It starts the
     /// attempt again if the worker has forgotten the attempt and has seen no higher token.
     direct_launch_token: Option<FencingToken>,
     /// Whether the end of the attempt needs no further record, so that the worker may forget it.
@@ -157,7 +157,7 @@
 
     /// Records that a direct command launches the attempt under a token.
     pub(super) fn record_direct_launch(&mut self, token: FencingToken) {
-        self.direct_launch_token = self.direct_launch_token.max(Some(token));
+        self.direct_launch_token = Some(token);
     }
 
     /// Whether a worker that has seen `token` drops every copy of a direct command that launched
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -194,7 +194,7 @@
                 Some(WorkerCommand::Launch { task, attempt })
             }
             AttemptPhase::Exited => {
-                (self.is_reapable() && may_reap).then_some(WorkerCommand::Reap { task, attempt })
+                (self.may_be_reaped && may_reap).then_some(WorkerCommand::Reap { task, attempt })
             }
             _ => {
                 let grace_period_s = self.send_stop()?;
