--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -65,8 +65,8 @@
         self.server = None
         self.connections = set()
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -418,6 +418,23 @@
             task.cancel()
         self.forget("machine gone")
 
+    async def restart(self, away_s):
+        """The machine stops with all that is on it and is back after a time, as a new worker at its address."""
+        self.world.record("machine", rig=self.name, event="down")
+        for task in self.tasks:
+            task.cancel()
+        self.server.stop()
+        if self.client:
+            self.client.close()
+        self.client = None
+        self.forget("machine down")
+        self.images.clear()
+        self.shift, self.tally, self.baton = 1, 0, 0
+        await asyncio.sleep(away_s)
+        self.server = await Server(self.handle).start(self.server.port)
+        self.world.record("machine", rig=self.name, event="up")
+        self.start()
+
     def forget(self, why):
         for key, hand in list(self.hands.items()):
             self.leave(key, why)
