Launches are sent in responses only; a wake-up brings the heartbeat at once

Cause: direct commands carried launches.

Change: a direct command carries no launch of a task of a job, but the launch of a task that can't exist. The worker refuses it, reports at once, and the response carries the launches. Unsent launches are withdrawn when their machine accepts no tasks any more. Direct commands carry no reaps, so that their replies still prove that the worker has not restarted. The tokens with reaps, which fenced copies of direct launches, go out.

Why it works: a worker never carries out a response late, and a copy of a wake-up starts nothing.

--- a/src/controller/tests/failing_jobs.rs
+++ b/src/controller/tests/failing_jobs.rs
@@ -97,6 +97,7 @@
     let mut simulation = Simulation::new(1, 4);
     simulation.idle_release_after = secs(20.0);
     simulation.cloud.has_capacity = true;
+    simulation.cloud.zones_without_capacity.insert("x");
     simulation.start_controller(0);
     simulation.task_duration = Some(secs(2.0));
     simulation.advance(6.0);
@@ -104,9 +105,11 @@
     let mut array = job_desc("j-1", 32);
     array.cores = 0.5;
     simulation.submit(&array);
-    // A healthy job runs at the same time and uses one machine alone.
+    // A healthy job runs at the same time and uses one machine alone. It is bound to a zone in which
+    // the cloud has no capacity, so that each machine that is added is added for the failing job.
     let mut healthy = job_desc("j-2", 1_000);
     (healthy.cores, healthy.team) = (8.0, "blue".into());
+    healthy.zone = Some("x".into());
     simulation.submit(&healthy);
     simulation.advance(15.0);
     let machine_count = simulation.workers.len();
--- a/src/controller/tests/zone_failover/mod.rs
+++ b/src/controller/tests/zone_failover/mod.rs
@@ -132,6 +132,16 @@
         .sum()
 }
 
+/// Returns the lowest attempt of the tasks that run outside of a zone and whose identifier begins
+/// with a prefix.
+fn first_attempt_outside(simulation: &Simulation, zone: &str, prefix: &str) -> Option<u64> {
+    let outside = simulation.workers.iter().filter(|other| other.zone != zone);
+    let tasks = outside.flat_map(|worker| &worker.tasks);
+    let of_prefix =
+        tasks.filter(|(task, attempt)| task.starts_with(prefix) && attempt.is_running());
+    of_prefix.map(|(_, attempt)| attempt.attempt).min()
+}
+
 /// Fills two zones with jobs that are bound to them, `tasks` tasks in each, so that only the third
 /// zone has free capacity. The jobs are `j-90` and `j-91`.
 fn fill_zones(simulation: &mut Simulation, zones: [&str; 2], tasks: u32) {
--- a/src/partition_owner/command_log.rs
+++ b/src/partition_owner/command_log.rs
@@ -2,9 +2,18 @@
 //! and on which route.
 
 use crate::ids::{FencingToken, MachineId, PartitionId};
-use crate::workers::{CommandRoute, WorkerCommand};
+use crate::workers::WorkerCommand;
 use tracing::Level;
 
+/// The route on which commands are sent to a worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum CommandRoute {
+    /// The response to a heartbeat.
+    Response,
+    /// A direct command.
+    Direct,
+}
+
 /// The message that carries commands to a worker.
 pub(super) struct CommandMessage<'a> {
     /// The partition of the worker's machine.
--- a/src/partition_owner/direct_commands.rs
+++ b/src/partition_owner/direct_commands.rs
@@ -1,15 +1,16 @@
 //! Direct commands: commands that are sent straight to a machine's worker instead of in the
 //! response to a heartbeat.
 //!
-//! They carry commands that can't wait for the next heartbeat, probe machines that are late, and
-//! bring the fencing token to machines that have not shown it. At most one direct command to
+//! They carry stops that can't wait for the next heartbeat, make workers send the heartbeats that
+//! launches wait for, probe machines that are late, and bring the fencing token to machines that
+//! have not shown it. At most one direct command to
 //! each machine, and a bounded number in all, is in flight at a time.
 
-use super::command_log::CommandMessage;
+use super::command_log::{CommandMessage, CommandRoute};
 use super::{Effect, OwnedPartition};
 use crate::clock::Micros;
 use crate::ids::MachineId;
-use crate::workers::{CommandRoute, DirectCommand, Heartbeat, Machine};
+use crate::workers::{DirectCommand, Heartbeat, Machine};
 use std::collections::BTreeSet;
 
 /// Shortest interval between two direct commands to one machine.
@@ -115,16 +116,10 @@
             return;
         };
         let Some(heartbeat) = reply.filter(|heartbeat| heartbeat.machine == *id) else {
-            machine.record_direct_command_lost(now);
+            machine.record_direct_command_lost();
             return;
         };
-        machine.record_direct_command_reply();
-        // A worker refuses a direct command under another agent epoch. Its launches are sent
-        // again under the right one, unless a higher fencing token shows that this owner is
-        // fenced.
-        if heartbeat.fencing_token <= machine.fencing_token() {
-            machine.resend_launches();
-        }
+        machine.record_direct_command_reply(&heartbeat);
         if machine.has_restarted(&heartbeat) {
             tracing::info!(partition = %self.ownership.partition(), machine = %id, "worker restarted");
             machine.record_restart(now, &heartbeat);
@@ -151,9 +146,18 @@
         };
         // The machine is unreachable. The tasks that were to start on it start elsewhere, and no
         // more are launched on it until it sends a heartbeat.
-        let abandoned = machine.record_direct_command_not_sent(now + SEND_RETRY_INTERVAL);
+        machine.record_direct_command_not_sent(now + SEND_RETRY_INTERVAL);
+        self.withdraw_unsent_launches(id);
+    }
+
+    /// Withdraws the launches that were sent to a machine in no message, and requeues their tasks.
+    pub(super) fn withdraw_unsent_launches(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let withdrawn = machine.withdraw_unsent_launches();
         self.update_usage(id);
-        for key in abandoned {
+        for key in withdrawn {
             self.requeue(&key, id);
         }
     }
@@ -167,10 +171,10 @@
         && machine
             .last_contact_at()
             .is_some_and(|contact_at| now.since(contact_at) < heartbeat_timeout);
-    let is_needed = machine.needs_direct_command()
+    let is_needed = machine.needs_direct_command(now)
         && (is_reachable && machine.has_known_agent_epoch() || machine.needs_probe());
     if !needs_token && !is_needed || machine.spec.addr.is_empty() {
-        return if machine.has_direct_command_in_flight() {
+        return if machine.has_direct_command_in_flight() || machine.has_unsent_launch() {
             NextCommand::Wait
         } else {
             NextCommand::Nothing
@@ -183,7 +187,7 @@
     // Only reachable machines get worker commands. For the others, the direct command only
     // carries the fencing token or probes the worker.
     let commands = if is_reachable {
-        machine.commands(CommandRoute::Direct)
+        machine.direct_commands(now)
     } else {
         Vec::new()
     };
--- a/src/partition_owner/heartbeats.rs
+++ b/src/partition_owner/heartbeats.rs
@@ -5,12 +5,12 @@
 //! fencing token of this owner's term.
 
 use super::OwnedPartition;
-use super::command_log::CommandMessage;
+use super::command_log::{CommandMessage, CommandRoute};
 use super::direct_commands::DirectCommandQueue;
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::PartitionId;
-use crate::workers::{CommandRoute, Heartbeat, HeartbeatOrder, HeartbeatResponse, Machine};
+use crate::workers::{Heartbeat, HeartbeatOrder, HeartbeatResponse, Machine};
 
 /// Result of checking a heartbeat.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -51,7 +51,7 @@
         }
         let machine = self.machines.get_mut(&heartbeat.machine)?;
         let commands = if is_accepted {
-            machine.commands(CommandRoute::Response)
+            machine.response_commands()
         } else {
             machine.raise_token_for_response();
             Vec::new()
--- a/src/partition_owner/periodic_checks.rs
+++ b/src/partition_owner/periodic_checks.rs
@@ -7,6 +7,7 @@
 use crate::fairness::Resources;
 use crate::ids::{JobId, MachineId};
 use crate::jobs::Job;
+use crate::placement;
 use crate::workers::{Attempt, AttemptKey, AttemptPhase, Machine};
 
 /// Interval between two rounds of checks.
@@ -71,6 +72,7 @@
     fn run_periodic_checks(&mut self, now: Micros) {
         self.scheduling.retain_failing_jobs(&self.jobs);
         self.expire_worker_leases(now);
+        self.withdraw_undeliverable_launches(now);
         self.lift_quarantines(now);
         self.request_probes(now);
         self.stop_before_preemption(now);
@@ -123,6 +125,22 @@
         }
     }
 
+    /// Withdraws launches that wait for the heartbeat of a machine which accepts no tasks any more.
+    fn withdraw_undeliverable_launches(&mut self, now: Micros) {
+        let heartbeat_timeout = self.heartbeat_timeout();
+        let machines = self.machines.iter();
+        let undeliverable: Vec<MachineId> = machines
+            .filter(|(_, machine)| {
+                machine.has_unsent_launch()
+                    && !placement::accepts_tasks(machine, now, heartbeat_timeout)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in undeliverable {
+            self.withdraw_unsent_launches(&id);
+        }
+    }
+
     /// Requests direct commands to machines whose heartbeats are late, and to machines that have
     /// not shown this owner's fencing token yet.
     fn request_probes(&mut self, now: Micros) {
--- a/src/partition_owner/scheduling.rs
+++ b/src/partition_owner/scheduling.rs
@@ -26,10 +26,10 @@
 /// Way in which the commands to launch attempts reach their machines.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum LaunchDelivery {
-    /// In a direct command.
-    DirectCommand,
+    /// In the response to a heartbeat that a direct command makes the worker send.
+    NextHeartbeat,
     /// In the response to the heartbeat that is being handled.
-    HeartbeatResponse,
+    ThisHeartbeat,
 }
 
 impl OwnedPartition {
@@ -78,7 +78,7 @@
             now,
             wall_clock,
             pass.placements,
-            LaunchDelivery::DirectCommand,
+            LaunchDelivery::NextHeartbeat,
         );
         compared
     }
@@ -128,7 +128,7 @@
         let pass = placement::run_pass(&snapshot, queues, candidate, REFILL_LIMITS);
         self.scheduling
             .add_machines_compared(pass.machines_compared);
-        let delivery = LaunchDelivery::HeartbeatResponse;
+        let delivery = LaunchDelivery::ThisHeartbeat;
         self.start(now, wall_clock, pass.placements, delivery);
     }
 
@@ -146,7 +146,7 @@
                 continue;
             }
             self.update_usage(&machine_id);
-            if delivery == LaunchDelivery::DirectCommand {
+            if delivery == LaunchDelivery::NextHeartbeat {
                 self.direct_commands.request(&machine_id);
             }
         }
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -59,8 +59,6 @@
     pub desc: Option<Rc<JobDesc>>,
     /// Instant at which a heartbeat first showed the attempt running; `None` if none has.
     pub running_since: Option<Micros>,
-    /// Whether the launch was sent, in a direct command or in a response.
-    pub is_launch_sent: bool,
     /// Number of responses that contained a command for the attempt since its phase last changed.
     pub(super) unacknowledged_sends: u32,
     /// The request to stop the attempt; `None` if there is none.
@@ -68,10 +66,6 @@
     /// The token that was raised when the launch was abandoned; `None` if it was not. The attempt
     /// counts as lost once a heartbeat shows this token or a higher one without the attempt.
     abandonment_token: Option<FencingToken>,
-    /// The last and so the highest token under which a direct command launched the attempt; `None`
-    /// if none did. A copy of that command may arrive at any time, also long after it was answered. It starts the
-    /// attempt again if the worker has forgotten the attempt and has seen no higher token.
-    direct_launch_token: Option<FencingToken>,
     /// Whether the end of the attempt needs no further record, so that the worker may forget it.
     pub may_be_reaped: bool,
 }
@@ -89,11 +83,9 @@
             }),
             desc: job.map(|(_, desc)| desc.clone()),
             running_since: (phase == AttemptPhase::Running).then_some(now),
-            is_launch_sent: phase != AttemptPhase::Launching,
             unacknowledged_sends: 0,
             stop: None,
             abandonment_token: None,
-            direct_launch_token: None,
             may_be_reaped: false,
         }
     }
@@ -144,6 +136,11 @@
         self.phase == AttemptPhase::Launching && self.abandonment_token.is_none()
     }
 
+    /// Whether the attempt is to be launched and no message has contained its launch.
+    pub fn is_launch_unsent(&self) -> bool {
+        self.is_launch_pending() && self.unacknowledged_sends == 0
+    }
+
     /// Abandons the launch before any heartbeat has shown the attempt. A worker that has seen
     /// `token` drops the launch.
     pub(super) fn abandon(&mut self, token: FencingToken) {
@@ -155,22 +152,6 @@
         self.abandonment_token.is_some_and(|token| seen >= token)
     }
 
-    /// Records that a direct command launches the attempt under a token.
-    pub(super) fn record_direct_launch(&mut self, token: FencingToken) {
-        self.direct_launch_token = Some(token);
-    }
-
-    /// Whether a worker that has seen `token` drops every copy of a direct command that launched
-    /// the attempt.
-    pub(super) fn is_launch_fenced_by(&self, token: FencingToken) -> bool {
-        self.direct_launch_token < Some(token)
-    }
-
-    /// Whether the attempt has ended and the worker may forget it.
-    pub(super) fn is_reapable(&self) -> bool {
-        self.has_exited() && self.may_be_reaped
-    }
-
     /// Marks the command to stop the attempt as sent and returns its grace period in seconds.
     /// Returns `None` if the attempt is not to be stopped.
     pub(super) fn send_stop(&mut self) -> Option<f64> {
@@ -179,11 +160,10 @@
         Some(stop.grace_period_s)
     }
 
-    /// Whether there is a command for the attempt that has not been sent yet.
-    pub(super) fn has_unsent_command(&self) -> bool {
+    /// Whether the attempt is to be stopped and no command to stop it has been sent yet.
+    pub(super) fn has_unsent_stop(&self) -> bool {
         match self.phase {
-            AttemptPhase::Launching => !self.is_launch_sent && self.abandonment_token.is_none(),
-            AttemptPhase::Exited | AttemptPhase::Saving => false,
+            AttemptPhase::Launching | AttemptPhase::Exited | AttemptPhase::Saving => false,
             _ => self.stop.is_some_and(|stop| !stop.is_sent),
         }
     }
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -1,18 +1,9 @@
 //! The commands that are sent to a machine's worker, and the consequences of direct commands that
 //! are lost or can't be sent.
 
-use super::{Attempt, AttemptKey, AttemptPhase, Machine, WorkerCommand};
+use super::{Attempt, AttemptKey, AttemptPhase, Heartbeat, Machine, WorkerCommand};
 use crate::clock::Micros;
 
-/// The route on which commands are sent to a worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CommandRoute {
-    /// The response to a heartbeat. The state that the next heartbeat shows acknowledges it.
-    Response,
-    /// A direct command.
-    Direct,
-}
-
 impl Machine {
     /// Whether a direct command is in flight.
     pub fn has_direct_command_in_flight(&self) -> bool {
@@ -56,52 +47,39 @@
     }
 
     /// Records that the worker replied to a direct command.
-    pub fn record_direct_command_reply(&mut self) {
+    pub fn record_direct_command_reply(&mut self, reply: &Heartbeat) {
         self.direct_commands.record_reply();
         self.agent.set_needs_probe(false);
+        // A higher token shows that this owner is fenced: another wake-up would be refused, too.
+        if reply.fencing_token <= self.fencing_token() {
+            self.wake_ups.record_reply(reply);
+        }
     }
 
     /// Records that a direct command was not answered. It may still arrive, even minutes late, so
-    /// the fencing token is raised. The attempts that it launches may have started at a worker that
-    /// restarted since the last response, so that their lease started after it.
-    pub fn record_direct_command_lost(&mut self, now: Micros) {
-        if self.direct_commands.launches_attempts() {
-            self.liveness.record_possible_lease_start(now);
-        }
+    /// the fencing token is raised.
+    pub fn record_direct_command_lost(&mut self) {
         self.direct_commands.record_completed();
         self.fencing.fence_delayed_commands();
     }
 
     /// Records that a direct command is known not to have been sent and may be retried from
-    /// `retry_at` on. Removes and returns the attempts whose launch no other message contained,
-    /// so that their tasks can start on other machines.
-    pub fn record_direct_command_not_sent(&mut self, retry_at: Micros) -> Vec<AttemptKey> {
+    /// `retry_at` on.
+    pub fn record_direct_command_not_sent(&mut self, retry_at: Micros) {
         self.direct_commands.record_not_sent(retry_at);
+        self.wake_ups.record_not_sent();
         self.agent.set_needs_probe(true);
-        // A launch in an earlier direct command that may still arrive must not be given up.
-        if self.fencing.has_delayed_commands() {
-            return Vec::new();
-        }
-        let is_unsent = |attempt: &mut Attempt| {
-            attempt.is_launch_pending()
-                && attempt.unacknowledged_sends == 0
-                && attempt.is_launch_sent
-        };
+    }
+
+    /// Removes and returns the attempts whose launch no message contained, so that their tasks can
+    /// start on other machines at once.
+    pub fn withdraw_unsent_launches(&mut self) -> Vec<AttemptKey> {
         self.attempts
-            .extract_if(.., |_, attempt| is_unsent(attempt))
+            .extract_if(.., |_, attempt| attempt.is_launch_unsent())
             .map(|(key, _)| key)
             .collect()
     }
 
-    /// Marks all launches that no heartbeat has shown to be sent again.
-    pub fn resend_launches(&mut self) {
-        for attempt in self.attempts.values_mut() {
-            if attempt.phase == AttemptPhase::Launching {
-                attempt.is_launch_sent = false;
-            }
-        }
-    }
-
     /// Abandons the selected attempts that no heartbeat has shown, and raises the fencing token if
     /// there are any.
     fn abandon_launching(&mut self, selects: impl Fn(&AttemptKey) -> bool) {
@@ -130,81 +108,96 @@
         }
     }
 
-    /// Returns the commands that the worker is to carry out now, and marks them as sent. Returns
-    /// none while the machine is unconfirmed.
-    pub fn commands(&mut self, route: CommandRoute) -> Vec<WorkerCommand> {
+    /// Returns the commands of a response to a heartbeat, and marks them as sent. Returns none while
+    /// the machine is unconfirmed.
+    pub fn response_commands(&mut self) -> Vec<WorkerCommand> {
         if self.is_unconfirmed() {
             return Vec::new();
         }
-        // A worker that has reaped an attempt has forgotten it, so a delayed launch would run the
-        // attempt again. Nothing is reaped while a delayed launch may still arrive.
-        let may_reap = self.has_no_command_in_transit();
-        if may_reap {
-            self.fence_launches_of_reaped_attempts();
-        }
-        let token = self.fencing_token();
-        let mut commands = Vec::new();
+        let mut commands: Vec<WorkerCommand> = self.wake_ups.reaps().collect();
         for (key, attempt) in &mut self.attempts {
-            let Some(command) = attempt.command(key, may_reap) else {
+            let Some(command) = attempt.command(key) else {
                 continue;
             };
-            if route == CommandRoute::Direct && command.is_launch() {
-                attempt.record_direct_launch(token);
-            }
             commands.push(command);
-            if route == CommandRoute::Response && attempt.phase != AttemptPhase::Saving {
+            if attempt.phase != AttemptPhase::Saving {
                 attempt.unacknowledged_sends += 1;
             }
         }
         // Launches come last, so that the other commands free capacity for them first.
         commands.sort_by_key(WorkerCommand::is_launch);
-        if route == CommandRoute::Direct && commands.last().is_some_and(WorkerCommand::is_launch) {
-            self.direct_commands.record_launches();
-        }
         commands
     }
 
-    /// Raises the token if a direct command under the present token launched an attempt that is to
-    /// be reaped now. The message that makes the worker forget the attempt thus also makes it drop
-    /// all copies of the launch.
-    fn fence_launches_of_reaped_attempts(&mut self) {
-        let token = self.fencing_token();
-        let is_unfenced =
-            |attempt: &Attempt| attempt.is_reapable() && !attempt.is_launch_fenced_by(token);
-        if self.attempts.values().any(is_unfenced) {
-            self.fencing.raise();
+    /// Returns the commands of a direct command, and marks them as sent: the stops, and a wake-up if
+    /// launches wait for the next heartbeat. Returns none while the machine is unconfirmed.
+    ///
+    /// A direct command contains no launches, because a copy of it may arrive at any later time and
+    /// would be carried out by a restarted worker. It contains no reaps, because an attempt that the
+    /// reply still shows proves that the worker has not restarted.
+    pub fn direct_commands(&mut self, now: Micros) -> Vec<WorkerCommand> {
+        if self.is_unconfirmed() {
+            return Vec::new();
         }
+        let attempts = self.attempts.iter_mut();
+        let mut commands: Vec<WorkerCommand> = attempts
+            .filter_map(|(key, attempt)| attempt.stop_command(key))
+            .collect();
+        commands.extend(self.take_wake_up(now));
+        commands
+    }
+
+    /// Returns the command that makes the worker send a heartbeat at once; `None` if no launch
+    /// waits for one, or if one is expected anyway.
+    pub(super) fn take_wake_up(&mut self, now: Micros) -> Option<WorkerCommand> {
+        self.needs_wake_up(now).then(|| self.wake_ups.send(now))
+    }
+
+    /// Whether a launch waits for a heartbeat that is not expected soon.
+    fn needs_wake_up(&self, now: Micros) -> bool {
+        !self.wake_ups.is_heartbeat_expected(now) && self.has_unsent_launch()
     }
 
-    /// Whether there is a probe or a command to send before the next heartbeat.
-    pub fn needs_direct_command(&self) -> bool {
-        self.needs_probe() || self.attempts.values().any(Attempt::has_unsent_command)
+    /// Whether a launch that no message has contained yet waits for the machine's next heartbeat.
+    pub fn has_unsent_launch(&self) -> bool {
+        self.attempts.values().any(Attempt::is_launch_unsent)
+    }
+
+    /// Whether there is a probe, a command or a wake-up to send before the next heartbeat.
+    pub fn needs_direct_command(&self, now: Micros) -> bool {
+        self.needs_probe()
+            || self.attempts.values().any(Attempt::has_unsent_stop)
+            || self.needs_wake_up(now)
     }
 }
 
 impl Attempt {
-    /// Returns the command that the worker is to carry out for this attempt now, and marks it as
+    /// Returns the command that the worker is to carry out for this attempt now, and marks a stop as
     /// sent. Returns `None` if there is none.
-    fn command(&mut self, key: &AttemptKey, may_reap: bool) -> Option<WorkerCommand> {
+    fn command(&mut self, key: &AttemptKey) -> Option<WorkerCommand> {
         let (task, attempt) = (key.task.to_string(), key.attempt);
         match self.phase {
             AttemptPhase::Launching if self.is_abandoned() => None,
-            AttemptPhase::Launching => {
-                self.is_launch_sent = true;
-                Some(WorkerCommand::Launch { task, attempt })
-            }
-            AttemptPhase::Exited => {
-                (self.may_be_reaped && may_reap).then_some(WorkerCommand::Reap { task, attempt })
-            }
-            _ => {
-                let grace_period_s = self.send_stop()?;
-                Some(WorkerCommand::Stop {
-                    task,
-                    attempt,
-                    grace_period_s,
-                })
-            }
+            AttemptPhase::Launching => Some(WorkerCommand::Launch { task, attempt }),
+            AttemptPhase::Exited => self
+                .may_be_reaped
+                .then_some(WorkerCommand::Reap { task, attempt }),
+            _ => self.stop_command(key),
+        }
+    }
+
+    /// Returns the command that stops this attempt, and marks it as sent. Returns `None` if the
+    /// attempt is not to be stopped, or if no heartbeat has shown it, or if it has ended.
+    fn stop_command(&mut self, key: &AttemptKey) -> Option<WorkerCommand> {
+        if !self.is_shown() || self.has_exited() {
+            return None;
         }
+        let grace_period_s = self.send_stop()?;
+        Some(WorkerCommand::Stop {
+            task: key.task.to_string(),
+            attempt: key.attempt,
+            grace_period_s,
+        })
     }
 }
 
--- a/src/workers/direct_commands.rs
+++ b/src/workers/direct_commands.rs
@@ -16,8 +16,6 @@
     /// of them, the worker has not restarted. If there are none, the command has a token that no
     /// message carried before.
     shown_attempts: Vec<AttemptKey>,
-    /// Whether the command launches attempts.
-    launches_attempts: bool,
     /// Whether neither a reply nor a failure of the command has been recorded yet.
     is_in_flight: bool,
 }
@@ -52,19 +50,6 @@
         self.last.as_ref().is_some_and(|last| last.is_in_flight)
     }
 
-    /// Whether the last direct command launches attempts, whether it is in flight or not.
-    pub(super) fn launches_attempts(&self) -> bool {
-        let last = self.last.as_ref();
-        last.is_some_and(|last| last.launches_attempts)
-    }
-
-    /// Records that the last direct command launches attempts.
-    pub(super) fn record_launches(&mut self) {
-        if let Some(last) = &mut self.last {
-            last.launches_attempts = true;
-        }
-    }
-
     /// Returns the newest heartbeat that was known before the last direct command was sent.
     pub(super) fn known_heartbeat(&self) -> KnownHeartbeat {
         let last = self.last.as_ref();
@@ -109,7 +94,6 @@
         self.last = Some(LastDirectCommand {
             known_heartbeat,
             shown_attempts,
-            launches_attempts: false,
             is_in_flight: true,
         });
         self.token_commands += u32::from(delivers_token);
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -6,6 +6,7 @@
 use super::fencing::{Fencing, MAX_UNACKNOWLEDGED};
 use super::liveness::Liveness;
 use super::schedulability::Schedulability;
+use super::wake_up::WakeUps;
 use super::{
     Attempt, AttemptKey, JobFailures, MachineSpec, ReleaseOutcome, ReleaseState, Reservations,
 };
@@ -28,6 +29,7 @@
     pub(super) agent: AgentState,
     pub(super) liveness: Liveness,
     pub(super) direct_commands: DirectCommandChannel,
+    pub(super) wake_ups: WakeUps,
     /// Attempts that are, or may still be, on the machine.
     pub attempts: BTreeMap<AttemptKey, Attempt>,
     /// Images that are probably stored on the machine.
@@ -62,6 +64,7 @@
             agent: AgentState::default(),
             liveness: Liveness::new(now),
             direct_commands: DirectCommandChannel::new(),
+            wake_ups: WakeUps::new(term),
             attempts: BTreeMap::new(),
             images: BTreeSet::new(),
             preempted_at: None,
@@ -156,10 +159,7 @@
     /// `timeout` is the longest time that a worker may take to end its attempts, counted from the
     /// start of its lease.
     pub fn has_lease_expired(&self, now: Micros, timeout: Micros) -> bool {
-        // A launch that is in flight may start an attempt at a worker that has just restarted.
-        let may_be_launching =
-            self.direct_commands.is_in_flight() && self.direct_commands.launches_attempts();
-        !may_be_launching && now.since(self.lease_started_at()) > timeout
+        now.since(self.lease_started_at()) > timeout
     }
 
     /// Returns the instant at which the cloud preempts the machine; `None` if the cloud has given
@@ -240,8 +240,8 @@
         !self.direct_commands.is_in_flight() && !self.fencing.has_delayed_commands()
     }
 
-    /// Whether no attempt, of this owner or of an earlier one, is on the machine or may still be
-    /// started by a delayed command.
+    /// Whether no attempt, of this owner or of an earlier one, is on the machine, and no direct
+    /// command is in transit.
     pub fn is_empty(&self) -> bool {
         self.attempts.is_empty() && self.has_no_command_in_transit() && !self.is_unconfirmed()
     }
--- a/src/workers/machine/tests.rs
+++ b/src/workers/machine/tests.rs
@@ -3,7 +3,6 @@
 use super::MAX_UNACKNOWLEDGED;
 use crate::clock::Micros;
 use crate::ids::FencingToken;
-use crate::workers::CommandRoute;
 use crate::workers::tests::{heartbeat, launch, machine};
 
 /// Guards against launching tasks on a machine whose heartbeats arrive but which neither sees the
@@ -30,7 +29,7 @@
             &heartbeat("m", 1, number, machine.fencing_token(), &[]),
         );
         assert!(!machine.is_unreachable());
-        machine.commands(CommandRoute::Response);
+        machine.response_commands();
     }
     assert!(machine.is_unreachable(), "no heartbeat showed the launch");
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -26,9 +26,9 @@
 mod reservations;
 mod schedulability;
 mod spec;
+mod wake_up;
 
 pub use attempt::{Attempt, AttemptKey, TaskDemand};
-pub use commands::CommandRoute;
 pub use failures::JobFailures;
 pub use heartbeat_order::HeartbeatOrder;
 pub use machine::Machine;
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -59,6 +59,7 @@
     /// Records an accepted heartbeat that the worker sent on its own.
     pub fn record_heartbeat(&mut self, now: Micros) {
         self.liveness.record_heartbeat(now);
+        self.wake_ups.record_heartbeat();
     }
 
     /// Records that a response to a heartbeat is sent.
@@ -170,7 +171,8 @@
         epoch_ended
     }
 
-    /// Updates the attempts that the heartbeat shows and returns their keys.
+    /// Updates the attempts that the heartbeat shows and returns their keys. The rejected attempts of
+    /// wake-ups are kept apart: they are no attempts of any job.
     fn reconcile_reported(
         &mut self,
         now: Micros,
@@ -178,10 +180,15 @@
         events: &mut Vec<AttemptEvent>,
     ) -> BTreeSet<AttemptKey> {
         let mut reported = BTreeSet::new();
+        let mut rejected = BTreeSet::new();
         for status in statuses {
             let Some(key) = AttemptKey::of(status) else {
                 continue;
             };
+            if key.is_wake_up() {
+                rejected.insert(key);
+                continue;
+            }
             reported.insert(key.clone());
             let Some(attempt) = self.attempts.get_mut(&key) else {
                 events.push(AttemptEvent::Unknown(key, status.phase, status.cause));
@@ -197,11 +204,11 @@
                 events.push(AttemptEvent::Ended(key, cause));
             }
         }
+        self.wake_ups.set_rejected(rejected);
         reported
     }
 
-    /// Removes those attempts missing from the heartbeat that are guaranteed to have ended. Raises
-    /// the token if a copy of the direct command that launched one of them could start it again.
+    /// Removes those attempts missing from the heartbeat that are guaranteed to have ended.
     fn reconcile_unreported(
         &mut self,
         reported: &BTreeSet<AttemptKey>,
@@ -209,31 +216,19 @@
         seen: FencingToken,
         events: &mut Vec<AttemptEvent>,
     ) {
-        let no_command_in_transit = self.has_no_command_in_transit();
-        let token = self.fencing_token();
-        let mut is_raise_needed = false;
         self.attempts.retain(|key, attempt| {
             if reported.contains(key) {
                 return true;
             }
-            let is_fenced = epoch_ended || attempt.is_launch_fenced_by(seen);
-            let has_ended = match attempt.phase {
-                // The launch may still arrive. The attempt stays, and its launch is sent again,
-                // until the agent epoch ends or the worker has seen the token that fences it.
-                AttemptPhase::Launching => epoch_ended || attempt.is_fenced_by(seen),
-                AttemptPhase::Exited => is_fenced,
-                _ => epoch_ended || no_command_in_transit && is_fenced,
-            };
+            // A launch may still arrive. The attempt stays, and its launch is sent again, until the
+            // agent epoch ends or the worker has seen the token that fences it. A launch is not sent
+            // again once a heartbeat has shown its attempt, so any other attempt is gone.
+            let has_ended = attempt.is_shown() || epoch_ended || attempt.is_fenced_by(seen);
             if has_ended && !attempt.has_exited() {
                 events.push(AttemptEvent::Lost(key.clone()));
             }
-            is_raise_needed |=
-                attempt.is_shown() && !is_fenced && !attempt.is_launch_fenced_by(token);
             !has_ended
         });
-        if is_raise_needed {
-            self.fencing.raise();
-        }
     }
 }
 
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -1,8 +1,6 @@
 //! Heartbeats and machines for the tests of this module and of the modules that use it.
 
-use super::{
-    Attempt, AttemptKey, AttemptPhase, CommandRoute, Heartbeat, Machine, MachineSpec, WorkerCommand,
-};
+use super::{Attempt, AttemptKey, AttemptPhase, Heartbeat, Machine, MachineSpec, WorkerCommand};
 use crate::clock::Micros;
 use crate::fairness::Resources;
 use crate::ids::{AttemptId, FencingToken, TaskId, Term};
@@ -58,7 +56,7 @@
 /// Returns the number of launches in the next response.
 pub fn launch_count(machine: &mut Machine) -> usize {
     machine
-        .commands(CommandRoute::Response)
+        .response_commands()
         .iter()
         .filter(|command| matches!(command, WorkerCommand::Launch { .. }))
         .count()
