Jobs that fit nowhere use up no bound on looking at other jobs

Cause: a pass looked at the 400 most urgent jobs of each team, whether they could be placed or not. The same class of bound stood in refills (48 jobs), preemption (6), yields to constrained jobs (200), the one hold of a pass, the limit that a starved job keeps, and the team's limit in scale-out.

Change: queue entries name the machines that a job allows, so that a job that exceeds all room there, or a request that a search found too large, is skipped without a search. Only searches in vain count against the bound. If a team reaches it, these jobs are passed over until each job had its turn; the same in preemption, where jobs that no machine suits are left out.

Why it works: what can't be placed costs one look at its entry, and the number of searches in a pass has the same bound as before.

--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -21,6 +21,7 @@
 mod isolation;
 mod job_lifecycle;
 mod leases;
+mod left_waiting;
 mod loopback;
 mod partition_ownership;
 mod process_pauses;
--- a/src/partition_owner/scheduling.rs
+++ b/src/partition_owner/scheduling.rs
@@ -11,15 +11,16 @@
     self, CandidateMachines, PassLimits, Placement, PlacementPass, Queues, Victim,
 };
 use crate::workers::{Attempt, AttemptKey, AttemptPhase};
+use std::collections::BTreeSet;
 
 /// Bounds of a pass over the partition.
 const PASS_LIMITS: PassLimits = PassLimits {
-    max_jobs_per_team: 400,
+    max_failed_searches: 400,
     max_placements: 400,
 };
 /// Bounds of refilling one machine.
 const REFILL_LIMITS: PassLimits = PassLimits {
-    max_jobs_per_team: 48,
+    max_failed_searches: 48,
     max_placements: 400,
 };
 
@@ -67,9 +68,12 @@
         let snapshot = self.snapshot(now, wall_clock, fleet);
         let candidates = CandidateMachines::of_partition(&snapshot);
         let candidate_count = candidates.len();
-        let pass = placement::run_pass(&snapshot, queues, candidates, PASS_LIMITS);
+        let passed_over = self.scheduling.passed_over();
+        let mut pass = placement::run_pass(&snapshot, queues, candidates, PASS_LIMITS, passed_over);
         let is_cut_short = pass.placements.len() >= PASS_LIMITS.max_placements;
         self.scheduling.request_pass_if(is_cut_short);
+        self.scheduling
+            .set_passed_over(std::mem::take(&mut pass.passed_over));
         self.scheduling
             .add_machines_compared(pass.machines_compared);
         self.hold(&pass);
@@ -125,7 +129,8 @@
         let Some(candidate) = CandidateMachines::of_machine(&snapshot, id) else {
             return;
         };
-        let pass = placement::run_pass(&snapshot, queues, candidate, REFILL_LIMITS);
+        let none = BTreeSet::new();
+        let pass = placement::run_pass(&snapshot, queues, candidate, REFILL_LIMITS, &none);
         self.scheduling
             .add_machines_compared(pass.machines_compared);
         let delivery = LaunchDelivery::ThisHeartbeat;
@@ -191,9 +196,13 @@
 
     /// Preempts attempts for queued tasks that found no room and take precedence over them.
     fn preempt(&mut self, now: Micros, wall_clock: Micros, fleet: Resources) {
-        let plan = placement::plan_preemption(&self.snapshot(now, wall_clock, fleet));
+        let snapshot = self.snapshot(now, wall_clock, fleet);
+        let passed_over = self.scheduling.passed_over_by_preemption();
+        let plan = placement::plan_preemption(&snapshot, passed_over);
         self.scheduling
             .add_machines_compared(plan.machines_compared);
+        self.scheduling
+            .set_passed_over_by_preemption(plan.passed_over);
         for preemption in plan.preemptions {
             let Some(machine) = self.machines.get_mut(&preemption.machine) else {
                 continue;
--- a/src/partition_owner/scheduling_state.rs
+++ b/src/partition_owner/scheduling_state.rs
@@ -27,6 +27,11 @@
     failing_jobs: BTreeSet<JobId>,
     /// Machines on which free capacity is held for a job.
     held_machines: Vec<MachineId>,
+    /// Jobs that the next pass skips, so that it comes to the jobs behind them. Earlier passes
+    /// searched machines for them in vain.
+    passed_over: BTreeSet<JobId>,
+    /// The same for the next preemption.
+    passed_over_by_preemption: BTreeSet<JobId>,
     /// Whether anything has changed since the last pass that may affect its decisions.
     pass_pending: bool,
     next_pass_at: Micros,
@@ -40,10 +45,12 @@
 impl SchedulingState {
     pub(super) fn new(now: Micros) -> Self {
         SchedulingState {
-            queues: Queues::new(),
+            queues: Queues::default(),
             constrained: ConstrainedDemand::default(),
             failing_jobs: BTreeSet::new(),
             held_machines: Vec::new(),
+            passed_over: BTreeSet::new(),
+            passed_over_by_preemption: BTreeSet::new(),
             pass_pending: true,
             next_pass_at: now,
             last_preemption_at: now,
@@ -129,6 +136,29 @@
         true
     }
 
+    /// Returns the jobs that the next pass skips.
+    pub(super) fn passed_over(&self) -> &BTreeSet<JobId> {
+        &self.passed_over
+    }
+
+    /// Adds the jobs that a pass which could not look at all jobs searched machines for in vain, and
+    /// requests the next pass. If there are none, the next pass looks at all jobs again.
+    pub(super) fn set_passed_over(&mut self, jobs: Vec<JobId>) {
+        self.pass_pending |= !jobs.is_empty();
+        add_or_clear(&mut self.passed_over, jobs);
+    }
+
+    /// Returns the jobs that the next preemption skips.
+    pub(super) fn passed_over_by_preemption(&self) -> &BTreeSet<JobId> {
+        &self.passed_over_by_preemption
+    }
+
+    /// Adds the jobs that a preemption which could not look at all jobs found nothing to stop for. If
+    /// there are none, the next one looks at all jobs again.
+    pub(super) fn set_passed_over_by_preemption(&mut self, jobs: Vec<JobId>) {
+        add_or_clear(&mut self.passed_over_by_preemption, jobs);
+    }
+
     /// Replaces the machines on which free capacity is held, and returns the earlier ones.
     pub(super) fn replace_held(&mut self, machines: Vec<MachineId>) -> Vec<MachineId> {
         std::mem::replace(&mut self.held_machines, machines)
@@ -148,3 +178,12 @@
         AttemptId::of(term, self.attempts_started)
     }
 }
+
+/// Adds jobs to a set. If there are none, clears the set.
+fn add_or_clear(set: &mut BTreeSet<JobId>, jobs: Vec<JobId>) {
+    if jobs.is_empty() {
+        set.clear();
+    } else {
+        set.extend(jobs);
+    }
+}
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -1,6 +1,7 @@
 //! Machines that a placement pass may use, with their free capacity and a score that says how
 //! well each machine suits a task.
 
+use super::queue::MachineSelector;
 use super::zone_constraints::{TasksByZone, is_zone_allowed};
 use super::{SchedulingSnapshot, accepts_tasks};
 use crate::clock::Micros;
@@ -9,6 +10,7 @@
 use crate::jobs::{ImageKey, Job, JobDesc};
 use crate::workers::Machine;
 use std::borrow::Cow;
+use std::collections::BTreeSet;
 
 /// One machine may be held for a job, and one more for each this many usable machines of the
 /// partition.
@@ -110,6 +112,8 @@
     spot: bool,
     /// Largest free amount of each resource on any of the machines when the pass began.
     max_free: Resources,
+    /// Largest capacity of each resource of any of the machines.
+    max_capacity: Resources,
     /// Indexes of the machines in [`CandidateMachines::machines`].
     machine_indexes: Vec<usize>,
 }
@@ -121,6 +125,7 @@
             zone: &machine.spec.zone,
             spot: machine.spec.spot,
             max_free: free,
+            max_capacity: machine.spec.capacity,
             machine_indexes: Vec::new(),
         }
     }
@@ -132,13 +137,20 @@
     }
 }
 
+/// The most room that a selector finds on any machine, by resource. A request that exceeds it fits
+/// on no machine; one that does not exceed it may still fit on none.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SelectorRoom {
+    /// Largest free amount when the pass began.
+    pub(super) max_free: Resources,
+    /// Largest capacity, whether it is free or not.
+    pub(super) max_capacity: Resources,
+}
+
 /// Machines that a pass may use.
 pub struct CandidateMachines<'a> {
     pub(super) machines: Vec<CandidateMachine<'a>>,
     kinds: Vec<MachineKind<'a>>,
-    /// Free capacity of the machine if the pass covers a single one; not computed, and not used,
-    /// for a pass over the whole partition.
-    pub(super) max_free: Resources,
     /// Whether the pass covers the whole partition. Only such a pass holds machines for a job
     /// that fits on none.
     pub(super) is_whole_partition: bool,
@@ -158,7 +170,6 @@
         CandidateMachines {
             kinds: kinds_of(&machines),
             machines,
-            max_free: Resources::default(),
             is_whole_partition: true,
             machines_compared: 0,
         }
@@ -181,7 +192,6 @@
         let machines = vec![candidate];
         Some(CandidateMachines {
             kinds: kinds_of(&machines),
-            max_free: machines[0].free,
             machines,
             is_whole_partition: false,
             machines_compared: 0,
@@ -198,6 +208,40 @@
         self.machines.is_empty()
     }
 
+    /// Returns the most room that a selector finds on any of the machines.
+    pub(super) fn room_of(&self, selector: &MachineSelector) -> SelectorRoom {
+        let mut room = SelectorRoom::default();
+        let allowed = self
+            .kinds
+            .iter()
+            .filter(|kind| selector.allows(kind.machine_type, kind.zone, kind.spot));
+        for kind in allowed {
+            room.max_free = room.max_free.max(kind.max_free);
+            room.max_capacity = room.max_capacity.max(kind.max_capacity);
+        }
+        room
+    }
+
+    /// Whether the capacity of any of the machines suffices for a job that may run there.
+    pub(super) fn suit(&self, desc: &JobDesc) -> bool {
+        self.kinds.iter().any(|kind| {
+            desc.allows(kind.machine_type, kind.zone, kind.spot)
+                && desc.request().fits_in(&kind.max_capacity)
+        })
+    }
+
+    /// Returns the jobs that have capacity of a machine reserved or held for them. They may fit where
+    /// other jobs with the same requirements do not.
+    pub(super) fn jobs_with_reservations(&self, now: Micros) -> BTreeSet<&'a JobId> {
+        let mut jobs = BTreeSet::new();
+        for candidate in &self.machines {
+            jobs.extend(candidate.held_for);
+            let reservations = candidate.machine.reservations.active(now);
+            jobs.extend(reservations.map(|reservation| &reservation.job));
+        }
+        jobs
+    }
+
     /// Returns the indexes of the machines on which a task of the job fits now, in ascending
     /// order of score: the best one is the last.
     pub(super) fn candidates(
@@ -238,14 +282,14 @@
 
     /// Holds machines for a job that fits on none, or small tasks would always take the capacity
     /// that becomes free. The machines on which the job lacks the smallest share of capacity are
-    /// held, since it is likely to fit there first.
+    /// held, since it is likely to fit there first. Returns whether there are any.
     pub(super) fn hold(
         &mut self,
         id: &'a JobId,
         desc: &JobDesc,
         waiting: u32,
         by_zone: &TasksByZone<'_>,
-    ) {
+    ) -> bool {
         let request = desc.request();
         let max_held = (waiting as usize).min(1 + self.machines.len() / MACHINES_PER_EXTRA_HOLD);
         let mut lacking: Vec<(f64, usize)> = Vec::new();
@@ -263,9 +307,11 @@
                 lacking.push((candidate.lacking_share(&request), machine_index));
             }
         }
+        let is_any_held = !lacking.is_empty() && max_held > 0;
         for machine_index in indexes_by_score(lacking).into_iter().take(max_held) {
             self.machines[machine_index].held_for = Some(id);
         }
+        is_any_held
     }
 }
 
@@ -282,6 +328,7 @@
         let kind = &mut kinds[kind_index];
         kind.machine_indexes.push(machine_index);
         kind.max_free = kind.max_free.max(candidate.free);
+        kind.max_capacity = kind.max_capacity.max(candidate.machine.spec.capacity);
     }
     kinds
 }
--- a/src/placement/capacity_requests.rs
+++ b/src/placement/capacity_requests.rs
@@ -165,7 +165,12 @@
         } as u32;
         self.carried_fraction = (exact_tasks - f64::from(wanted_tasks)).max(0.0);
         wanted_tasks = wanted_tasks.min(startable);
-        if let Some(headroom) = self.team_headroom.get_mut(&job.team) {
+        // A job that has waited long for a suitable machine is one that the cloud has no machine for.
+        // It must not keep other jobs of its team from getting theirs.
+        let is_unavailable = has_no_suitable_machine && waited >= MAX_WAIT_FOR_SUITABLE_MACHINE;
+        if let Some(headroom) = self.team_headroom.get_mut(&job.team)
+            && !is_unavailable
+        {
             *headroom -= request.scale(f64::from(wanted_tasks));
         }
         wanted_tasks -= self.serve_from_pending(desc, wanted_tasks);
--- a/src/placement/constrained.rs
+++ b/src/placement/constrained.rs
@@ -33,8 +33,6 @@
 /// Time since its last start for which a job yields machine types if it has neither a deadline nor
 /// a start latency objective.
 const MAX_TIME_SINCE_START: Micros = Micros::from_millis(60_000);
-/// Maximum number of waiting jobs of each team that are searched for constrained jobs.
-const MAX_JOBS_PER_TEAM: usize = 200;
 
 impl ConstrainedDemand {
     /// Creates the state for these machine types, without any waiting class.
@@ -48,11 +46,14 @@
         }
     }
 
-    /// Returns for each machine type whether a task of the job fits and the job allows the type.
-    fn fitting_machine_types(&self, desc: &JobDesc) -> Vec<bool> {
-        let request = desc.request();
+    /// Returns for each machine type whether a request fits and the type is allowed.
+    fn fitting_machine_types(
+        &self,
+        request: &Resources,
+        allowed: &Option<Vec<String>>,
+    ) -> Vec<bool> {
         let fits = |(name, capacity): &(String, Resources)| {
-            request.fits_in(capacity) && allows_machine_type(&desc.machine_types, name)
+            request.fits_in(capacity) && allows_machine_type(allowed, name)
         };
         self.machine_types.iter().map(fits).collect()
     }
@@ -62,19 +63,18 @@
     /// its jobs fit it.
     pub fn waiting(&self, snapshot: &SchedulingSnapshot<'_>, queues: &Queues) -> Vec<Vec<bool>> {
         let mut waiting: Vec<Vec<bool>> = Vec::new();
-        for (team, queue) in queues {
+        for (team, queue) in &queues.by_team {
             let limit = snapshot.settings.platform.teams[*team].limit();
-            for job in queue
-                .iter()
-                .rev()
-                .take(MAX_JOBS_PER_TEAM)
-                .filter_map(|queued| snapshot.jobs.get(&queued.id))
-            {
+            for queued in queue {
                 let mut after = snapshot.usage.of(*team).used;
-                after += job.desc.request();
-                let fits = self.fitting_machine_types(&job.desc);
+                after += queued.request;
+                if !after.fits_in(&limit) {
+                    continue;
+                }
+                let allowed = &queues.selectors[queued.selector].machine_types;
+                let fits = self.fitting_machine_types(&queued.request, allowed);
                 let fits_all_types = fits.iter().all(|fits| *fits);
-                if after.fits_in(&limit) && !fits_all_types && !waiting.contains(&fits) {
+                if !fits_all_types && !waiting.contains(&fits) {
                     waiting.push(fits);
                 }
             }
@@ -103,7 +103,7 @@
         if self.waiting.is_empty() {
             return Vec::new();
         }
-        let own = self.fitting_machine_types(desc);
+        let own = self.fitting_machine_types(&desc.request(), &desc.machine_types);
         // A class is more constrained if it does not fit one of the types that the job fits.
         let more_constrained =
             |class: &&Vec<bool>| class.iter().zip(&own).any(|(theirs, own)| *own && !theirs);
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -2,13 +2,18 @@
 //!
 //! In each step, the team with the lowest heaviness places one task of its next job or skips the
 //! job. The pass ends when no team has a job left or the limit of placements is reached.
+//!
+//! Most jobs that fit nowhere are found by their queue entries alone, which costs little. The number
+//! of searches for a machine that find none is limited for each team. The jobs for which they were
+//! made are passed over in the next pass, so that all other jobs have their turn within a few passes.
 
+use super::candidates::SelectorRoom;
 use super::zone_constraints::{TasksByZone, is_zone_allowed, tasks_by_zone};
-use super::{CandidateMachines, QueuedJob, Queues, SchedulingSnapshot, is_launchable, is_starved};
+use super::{CandidateMachines, QueuedJob, Queues, SchedulingSnapshot, is_launchable};
 use crate::fairness::{Resources, UsageByTeam};
 use crate::ids::{JobId, MachineId};
 use crate::jobs::{Job, JobDesc};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The decision to start a task on a machine.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,76 +36,61 @@
     pub held: Option<(JobId, Vec<MachineId>)>,
     /// Number of comparisons of a job with a machine: the cost of the pass.
     pub machines_compared: usize,
+    /// If a team reached its limit of searches: the jobs for which a machine was searched in vain.
+    /// Empty otherwise.
+    pub passed_over: Vec<JobId>,
 }
 
 /// Limits that bound the cost of a pass.
 #[derive(Debug, Clone, Copy)]
 pub struct PassLimits {
-    /// Maximum number of jobs that are considered of each team.
-    pub max_jobs_per_team: usize,
+    /// Maximum number of jobs of each team for which a machine is searched in vain.
+    pub max_failed_searches: usize,
     /// Maximum number of tasks that are placed.
     pub max_placements: usize,
 }
 
 /// Runs a pass over `machines` and returns the tasks to start on them now.
 ///
-/// `queues` must come from [`super::build_queues`]. The last jobs of each queue are considered, up
-/// to the limit: they are the most urgent ones.
+/// `queues` must come from [`super::build_queues`]. The last jobs of each queue are the most urgent
+/// ones. The jobs in `passed_over` are skipped: earlier passes searched machines for them in vain, and
+/// did not come to the jobs behind them.
 pub fn run_pass<'a>(
     snapshot: &SchedulingSnapshot<'a>,
     queues: &'a Queues,
     machines: CandidateMachines<'a>,
     limits: PassLimits,
+    passed_over: &BTreeSet<JobId>,
 ) -> PlacementPass {
     let usage = snapshot.usage.clone();
     let teams = queues
+        .by_team
         .iter()
-        .map(|(team, queue)| {
-            let skipped = queue.len().saturating_sub(limits.max_jobs_per_team);
-            TeamQueue {
-                team: *team,
-                heaviness: snapshot.heaviness(&usage, *team),
-                jobs: &queue[skipped..],
-            }
+        .map(|(team, queue)| TeamQueue {
+            team: *team,
+            heaviness: snapshot.heaviness(&usage, *team),
+            jobs: queue,
+            failed_searches: 0,
         })
-        .filter(|queue| !queue.jobs.is_empty())
         .collect();
+    let rooms = queues.selectors.iter();
     let pass = Pass {
+        rooms: rooms.map(|selector| machines.room_of(selector)).collect(),
+        unplaceable: vec![Vec::new(); queues.selectors.len()],
+        with_reservations: machines.jobs_with_reservations(snapshot.now),
         snapshot,
+        limits,
+        passed_over,
         usage,
         machines,
         teams,
         placements: Vec::new(),
         progress: BTreeMap::new(),
-        unplaceable: Vec::new(),
+        searched_in_vain: Vec::new(),
+        is_search_limit_reached: false,
         held: None,
     };
-    pass.run(limits.max_placements)
-}
-
-/// Requirements of a job's tasks. If a task fits on no machine, neither does any other task with
-/// the same requirements.
-#[derive(Debug, Clone, PartialEq)]
-struct TaskRequirements<'a> {
-    request: Resources,
-    machine_types: Option<&'a [String]>,
-    zone: Option<&'a str>,
-    spot: bool,
-    /// Set for a job with a zone constraint, which depends on where its other tasks are: no other
-    /// job has the same requirements.
-    zone_bound_job: Option<&'a JobId>,
-}
-
-impl<'a> TaskRequirements<'a> {
-    fn of(desc: &'a JobDesc) -> Self {
-        TaskRequirements {
-            request: desc.request(),
-            machine_types: desc.machine_types.as_deref(),
-            zone: desc.zone.as_deref(),
-            spot: desc.spot,
-            zone_bound_job: (desc.single_zone || desc.anti_affinity).then_some(&desc.id),
-        }
-    }
+    pass.run()
 }
 
 /// A team in a pass, with the jobs that are not decided yet. The last job is decided next.
@@ -108,6 +98,8 @@
     team: usize,
     heaviness: f64,
     jobs: &'a [QueuedJob],
+    /// Number of its jobs for which a machine was searched in vain.
+    failed_searches: usize,
 }
 
 /// State that a pass keeps for each job for which it has searched a machine.
@@ -125,6 +117,8 @@
     Placed,
     /// No further task of this job is placed in this pass.
     SkipJob,
+    /// No machine was found for the job.
+    SearchFailed,
     /// No further task of this team is placed in this pass.
     SkipTeam,
 }
@@ -132,21 +126,31 @@
 /// The state of a running pass.
 struct Pass<'s, 'a> {
     snapshot: &'s SchedulingSnapshot<'a>,
+    limits: PassLimits,
+    /// Jobs that are skipped in this pass.
+    passed_over: &'s BTreeSet<JobId>,
+    /// The most room on any machine, by selector.
+    rooms: Vec<SelectorRoom>,
+    /// Jobs that have capacity reserved or held for them.
+    with_reservations: BTreeSet<&'a JobId>,
     /// Usage by team, including the tasks that this pass has placed.
     usage: UsageByTeam,
     machines: CandidateMachines<'a>,
     teams: Vec<TeamQueue<'a>>,
     placements: Vec<Placement>,
     progress: BTreeMap<&'a JobId, JobProgress<'a>>,
-    /// Requirements that no machine was found to meet.
-    unplaceable: Vec<TaskRequirements<'a>>,
+    /// The smallest requests that were found to fit on no machine, by selector. Larger ones with the
+    /// same selector fit on none either.
+    unplaceable: Vec<Vec<Resources>>,
+    searched_in_vain: Vec<JobId>,
+    is_search_limit_reached: bool,
     /// The job for which machines are held.
     held: Option<&'a JobId>,
 }
 
 impl<'a> Pass<'_, 'a> {
-    fn run(mut self, max_placements: usize) -> PlacementPass {
-        while self.placements.len() < max_placements {
+    fn run(mut self) -> PlacementPass {
+        while self.placements.len() < self.limits.max_placements {
             let Some(lightest) = self.lightest_team() else {
                 break;
             };
@@ -165,6 +169,7 @@
 
     /// Decides about the next job of a team, or drops the teams that have no job left.
     fn advance(&mut self, queue_index: usize) {
+        self.skip_unplaceable(queue_index);
         let TeamQueue { team, jobs, .. } = self.teams[queue_index];
         let Some((queued, rest)) = jobs.split_last() else {
             self.teams.retain(|queue| !queue.jobs.is_empty());
@@ -173,29 +178,23 @@
         match self.decide(team, queued) {
             Decision::Placed => {}
             Decision::SkipJob => self.teams[queue_index].jobs = rest,
+            Decision::SearchFailed => {
+                self.teams[queue_index].jobs = rest;
+                self.count_failed_search(queue_index, &queued.id);
+            }
             Decision::SkipTeam => self.teams[queue_index].jobs = &[],
         }
     }
 
     /// Places the next task of a job, or decides that the job or its whole team is skipped.
     fn decide(&mut self, team: usize, queued: &'a QueuedJob) -> Decision {
-        if !self.needs_examination(queued) {
-            return Decision::SkipJob;
-        }
         let Some((job, index)) = self.next_task(&queued.id) else {
             return Decision::SkipJob;
         };
-        if !self.is_within_limit(team, job) {
+        if !self.is_within_limit(team, &queued.request) {
             // Other jobs of the team must not take the part of the team's limit that a starved job
             // waits for, or the starved job might never start.
-            return if is_starved(job, self.snapshot.wall_clock) {
-                Decision::SkipTeam
-            } else {
-                Decision::SkipJob
-            };
-        }
-        if self.unplaceable.contains(&TaskRequirements::of(&job.desc)) {
-            return Decision::SkipJob;
+            return Decision::SkipTeam;
         }
         match self.best_machine(&queued.id, job) {
             Some(machine_index) => {
@@ -203,19 +202,55 @@
                 Decision::Placed
             }
             None => {
-                self.record_unplaceable(&queued.id, job);
-                Decision::SkipJob
+                self.record_unplaceable(queued, job);
+                Decision::SearchFailed
             }
         }
     }
 
-    /// Whether a job must be examined further. In a pass over a single machine, which holds no
-    /// capacity, a job that exceeds the machine's free capacity is skipped at once. A starved job
-    /// is always examined, since it may have to keep other jobs of its team from starting.
-    fn needs_examination(&self, queued: &QueuedJob) -> bool {
-        self.machines.is_whole_partition
-            || queued.is_starved
-            || queued.request.fits_in(&self.machines.max_free)
+    /// Drops the next jobs of a team whose queue entries show that no task of them is placed.
+    fn skip_unplaceable(&mut self, queue_index: usize) {
+        let TeamQueue { team, jobs, .. } = self.teams[queue_index];
+        let next = jobs
+            .iter()
+            .rposition(|queued| self.needs_examination(team, queued));
+        self.teams[queue_index].jobs = &jobs[..next.map_or(0, |position| position + 1)];
+    }
+
+    /// Whether a job must be examined further: a machine may have room for it, capacity may be held
+    /// for it, or it keeps other jobs of its team from starting.
+    fn needs_examination(&self, team: usize, queued: &QueuedJob) -> bool {
+        let room = &self.rooms[queued.selector];
+        if !queued.request.fits_in(&room.max_capacity) || self.passed_over.contains(&queued.id) {
+            return false;
+        }
+        if !self.is_within_limit(team, &queued.request) {
+            return queued.is_starved;
+        }
+        let may_be_held_for = self.machines.is_whole_partition && self.held.is_none();
+        if !queued.request.fits_in(&room.max_free) && !may_be_held_for {
+            return false;
+        }
+        !self.is_known_unplaceable(queued)
+    }
+
+    /// Whether a search for a request that is at most as large found no machine.
+    fn is_known_unplaceable(&self, queued: &QueuedJob) -> bool {
+        let mut smaller = self.unplaceable[queued.selector].iter();
+        smaller.any(|request| request.fits_in(&queued.request))
+            && !self.with_reservations.contains(&queued.id)
+    }
+
+    /// Counts a search that found no machine for a job. Drops the other jobs of its team if that was
+    /// the last one that the limit allows.
+    fn count_failed_search(&mut self, queue_index: usize, id: &JobId) {
+        let queue = &mut self.teams[queue_index];
+        queue.failed_searches += 1;
+        if queue.failed_searches >= self.limits.max_failed_searches && !queue.jobs.is_empty() {
+            queue.jobs = &[];
+            self.is_search_limit_reached = true;
+        }
+        self.searched_in_vain.push(id.clone());
     }
 
     /// Returns the job and the index of its next waiting task, if it may be launched now.
@@ -233,10 +268,10 @@
         self.progress.get(id).map_or(0, |progress| progress.placed)
     }
 
-    /// Whether one more task of a job is within its team's limit.
-    fn is_within_limit(&self, team: usize, job: &Job) -> bool {
+    /// Whether one more task with this request is within a team's limit.
+    fn is_within_limit(&self, team: usize, request: &Resources) -> bool {
         let mut after = self.usage.of(team).used;
-        after += job.desc.request();
+        after += *request;
         after.fits_in(&self.snapshot.settings.platform.teams[team].limit())
     }
 
@@ -265,7 +300,8 @@
 
     /// Records that a job fits on no machine. Jobs with the same requirements need not be tried any
     /// more. In a pass over the whole partition, machines are held for the first such job.
-    fn record_unplaceable(&mut self, id: &'a JobId, job: &'a Job) {
+    fn record_unplaceable(&mut self, queued: &'a QueuedJob, job: &'a Job) {
+        let id = &queued.id;
         // A job that yields machine types for now may fit there. Other jobs with the same
         // requirements need not yield these types, and no machine is held for the job.
         let yielded = self
@@ -277,8 +313,10 @@
         }
         // A job that avoids machines on which it failed says nothing about other jobs with the
         // same requirements.
-        if job.failed_on().is_empty() {
-            self.unplaceable.push(TaskRequirements::of(&job.desc));
+        if job.failed_on().is_empty() && !has_zone_constraint(&job.desc) {
+            let known = &mut self.unplaceable[queued.selector];
+            known.retain(|request| !queued.request.fits_in(request));
+            known.push(queued.request);
         }
         if self.machines.is_whole_partition && self.held.is_none() {
             let waiting = job.waiting().len() - self.placed(id);
@@ -287,9 +325,10 @@
                 .get(id)
                 .map(|progress| &progress.tasks_by_zone);
             let no_tasks = TasksByZone::new();
-            self.machines
+            let is_held = self
+                .machines
                 .hold(id, &job.desc, waiting, by_zone.unwrap_or(&no_tasks));
-            self.held = Some(id);
+            self.held = is_held.then_some(id);
         }
     }
 
@@ -341,10 +380,20 @@
             placements: self.placements,
             held,
             machines_compared: self.machines.machines_compared,
+            passed_over: if self.is_search_limit_reached {
+                self.searched_in_vain
+            } else {
+                Vec::new()
+            },
         }
     }
 }
 
+/// Whether it depends on the places of a job's other tasks where its next task may start.
+fn has_zone_constraint(desc: &JobDesc) -> bool {
+    desc.single_zone || desc.anti_affinity
+}
+
 /// Returns the index of the job's waiting task at this position, counted from 0.
 fn nth_waiting(job: &Job, position: u32) -> Option<u32> {
     job.waiting().nth(position)
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -6,7 +6,7 @@
 
 mod victims;
 
-use super::{SchedulingSnapshot, accepts_tasks, is_launchable};
+use super::{CandidateMachines, SchedulingSnapshot, accepts_tasks, is_launchable};
 use crate::clock::Micros;
 use crate::fairness::{Resources, UsageByTeam};
 use crate::ids::{JobId, MachineId};
@@ -43,6 +43,9 @@
     pub preemptions: Vec<MachinePreemption>,
     /// Number of comparisons of a job with a machine: the cost of planning.
     pub machines_compared: usize,
+    /// If the run ended before all jobs were looked at: the jobs for which nothing could be stopped.
+    /// Empty otherwise.
+    pub passed_over: Vec<JobId>,
 }
 
 /// Slack in microseconds below which a job is likely to miss its deadline and may preempt.
@@ -59,28 +62,47 @@
 const WAIT_FRACTION: f64 = 0.5;
 /// Time for which the freed capacity is reserved for the preempting job.
 const RESERVATION_TIMEOUT: Micros = Micros::from_millis(8_000);
-/// Maximum number of jobs that may preempt in one run. Each of them costs an iteration over the
-/// machines.
+/// Maximum number of jobs that attempts are stopped for in one run.
 const MAX_PREEMPTING_JOBS: usize = 6;
+/// Number of comparisons of a job with a machine after which a run ends. Jobs for which nothing can be
+/// stopped count only by their comparisons.
+const MAX_COMPARISONS: usize = 24_000;
 
 /// Decides which attempts to stop for jobs of a higher priority, and for jobs of a team below its
 /// guarantee at the expense of teams above theirs. Attempts are stopped only if little work is
-/// lost compared with the work gained.
-pub fn plan_preemption(snapshot: &SchedulingSnapshot<'_>) -> PreemptionPlan {
-    let jobs = preempting_jobs(snapshot);
+/// lost compared with the work gained. The jobs in `passed_over` are skipped: earlier runs found
+/// nothing to stop for them, and did not come to the jobs behind them.
+pub fn plan_preemption(
+    snapshot: &SchedulingSnapshot<'_>,
+    passed_over: &BTreeSet<JobId>,
+) -> PreemptionPlan {
+    let jobs = preempting_jobs(snapshot, passed_over);
     if jobs.is_empty() {
         return PreemptionPlan::default();
     }
     let mut planner = Planner::new(snapshot);
+    let mut in_vain = Vec::new();
+    let mut served = 0;
     for (id, job) in jobs {
-        planner.plan_for(id, job);
+        if served >= MAX_PREEMPTING_JOBS || planner.plan.machines_compared >= MAX_COMPARISONS {
+            planner.plan.passed_over = in_vain;
+            break;
+        }
+        if planner.plan_for(id, job) {
+            served += 1;
+        } else {
+            in_vain.push(id.clone());
+        }
     }
     planner.plan
 }
 
 /// Returns the jobs for which attempts may be stopped, in the order in which they are served: by
 /// priority, then the heaviness of their team, then slack.
-fn preempting_jobs<'a>(snapshot: &SchedulingSnapshot<'a>) -> Vec<(&'a JobId, &'a Job)> {
+fn preempting_jobs<'a>(
+    snapshot: &SchedulingSnapshot<'a>,
+    passed_over: &BTreeSet<JobId>,
+) -> Vec<(&'a JobId, &'a Job)> {
     let mut jobs: Vec<(&JobId, &Job)> = snapshot
         .jobs
         .iter()
@@ -89,6 +111,7 @@
         // The zones allowed for these jobs change with each task that is placed. They wait for
         // free capacity instead.
         .filter(|(_, job)| !job.desc.single_zone && !job.desc.anti_affinity)
+        .filter(|(id, _)| !passed_over.contains(*id))
         .collect();
     if jobs.is_empty() {
         return jobs;
@@ -104,6 +127,8 @@
     if jobs.is_empty() {
         return jobs;
     }
+    let machines = CandidateMachines::of_partition(snapshot);
+    jobs.retain(|(_, job)| machines.suit(&job.desc));
     let heaviness: BTreeMap<usize, f64> = snapshot
         .teams
         .iter()
@@ -119,7 +144,6 @@
                     .cmp(&right.slack_us(snapshot.wall_clock)),
             )
     });
-    jobs.truncate(MAX_PREEMPTING_JOBS);
     jobs
 }
 
@@ -186,6 +210,16 @@
     free
 }
 
+/// Returns the number of tasks of each job for which capacity is reserved already.
+fn reserved_tasks<'a>(snapshot: &SchedulingSnapshot<'a>) -> BTreeMap<&'a JobId, u32> {
+    let mut reserved = BTreeMap::new();
+    let machines = snapshot.machines.values();
+    for reservation in machines.flat_map(|machine| machine.reservations.active(snapshot.now)) {
+        *reserved.entry(&reservation.job).or_default() += reservation.count;
+    }
+    reserved
+}
+
 /// Plans preemptions for one job after another.
 struct Planner<'s, 'a> {
     snapshot: &'s SchedulingSnapshot<'a>,
@@ -193,6 +227,8 @@
     usage: UsageByTeam,
     /// Free capacity of each usable machine as it will be when all chosen attempts have stopped.
     free_by_machine: BTreeMap<&'a MachineId, Resources>,
+    /// Number of tasks of each job for which capacity was reserved before this run.
+    reserved_tasks: BTreeMap<&'a JobId, u32>,
     /// Attempts that were chosen to be stopped so far.
     chosen: BTreeSet<AttemptKey>,
     plan: PreemptionPlan,
@@ -208,25 +244,30 @@
             free_by_machine: usable
                 .map(|(id, machine)| (id, free_after_stops(machine, snapshot.now)))
                 .collect(),
+            reserved_tasks: reserved_tasks(snapshot),
             snapshot,
             chosen: BTreeSet::new(),
             plan: PreemptionPlan::default(),
         }
     }
 
-    /// Plans preemptions for the waiting tasks of one job.
-    fn plan_for(&mut self, id: &JobId, job: &Job) {
+    /// Plans preemptions for the waiting tasks of one job. Returns whether it gets any capacity.
+    fn plan_for(&mut self, id: &JobId, job: &Job) -> bool {
         let request = job.desc.request();
-        let reserved = self.reserved_tasks(id);
+        let reserved = self.reserved_tasks.get(id).copied().unwrap_or(0);
         let mut used = self.usage.of(job.team).used;
         used += request.scale(f64::from(reserved));
         let team = &self.snapshot.settings.platform.teams[job.team];
         let mut pending = request
             .times_in(&(team.limit() - used))
             .min(job.waiting().len().saturating_sub(reserved));
+        let wanted = pending;
+        if wanted == 0 {
+            return false;
+        }
         pending -= self.take_free_capacity(id, job, pending);
         if pending == 0 {
-            return;
+            return true;
         }
         let is_guaranteed = fits_guarantee(team, used, request);
         self.plan.machines_compared += self.free_by_machine.len();
@@ -236,16 +277,7 @@
             }
             pending -= self.add_to_plan(id, request, plan, pending);
         }
-    }
-
-    /// Returns the number of tasks of a job for which capacity is reserved already.
-    fn reserved_tasks(&self, id: &JobId) -> u32 {
-        let machines = self.snapshot.machines.values();
-        machines
-            .flat_map(|machine| machine.reservations.active(self.snapshot.now))
-            .filter(|reservation| reservation.job == *id)
-            .map(|reservation| reservation.count)
-            .sum()
+        pending < wanted
     }
 
     /// Whether a task of the job may be placed on the machine, whatever is free there.
