A machine is not held for a job that stays away from it by itself

Cause: after a failure a job avoids the machine for 20 s, so a pass finds none for it, and then held that same machine for it. Each retry filled the room again.

Change: a hold leaves out machines that the job avoids, and machines of a zone that is closed to it.

Why it works: the job would not use what is held there, and others can in the meantime.

Tests: machine_that_a_faulty_job_avoids_is_not_held_for_it failed before and passes.

--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -17,6 +17,7 @@
 mod fencing;
 mod formats;
 mod heartbeats;
+mod held_capacity;
 mod idle_cloud;
 mod isolation;
 mod job_lifecycle;
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -282,14 +282,17 @@
 
     /// Holds machines for a job that fits on none, or small tasks would always take the capacity
     /// that becomes free. The machines on which the job lacks the smallest share of capacity are
-    /// held, since it is likely to fit there first. Returns whether there are any.
+    /// held, since it is likely to fit there first. Machines that the job stays away from by itself
+    /// are not held for it. Returns whether any is held.
     pub(super) fn hold(
         &mut self,
+        snapshot: &SchedulingSnapshot<'_>,
         id: &'a JobId,
-        desc: &JobDesc,
+        job: &Job,
         waiting: u32,
         by_zone: &TasksByZone<'_>,
     ) -> bool {
+        let desc = &*job.desc;
         let request = desc.request();
         let max_held = (waiting as usize).min(1 + self.machines.len() / MACHINES_PER_EXTRA_HOLD);
         let mut lacking: Vec<(f64, usize)> = Vec::new();
@@ -303,6 +306,8 @@
                     machine.spec.spot,
                 )
                 && is_zone_allowed(desc, by_zone, &machine.spec.zone)
+                && !machine.is_avoided_by(id, snapshot.now)
+                && !snapshot.is_zone_closed_to(job, &machine.spec.zone)
             {
                 lacking.push((candidate.lacking_share(&request), machine_index));
             }
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -325,9 +325,8 @@
                 .get(id)
                 .map(|progress| &progress.tasks_by_zone);
             let no_tasks = TasksByZone::new();
-            let is_held = self
-                .machines
-                .hold(id, &job.desc, waiting, by_zone.unwrap_or(&no_tasks));
+            let by_zone = by_zone.unwrap_or(&no_tasks);
+            let is_held = self.machines.hold(self.snapshot, id, job, waiting, by_zone);
             self.held = is_held.then_some(id);
         }
     }
