--- a/src/controller/tests/held_capacity.rs
+++ b/src/controller/tests/held_capacity.rs
@@ -4,6 +4,8 @@
 use crate::jobs::tests::job_desc;
 use crate::jobs::{JobDesc, Priority};
 
+/// Longest time in seconds for which a job may wait beside a machine with room.
+const MAX_WAIT_S: f64 = 90.0;
 /// Maximum time in seconds until a job starts beside which no other job can use the machine.
 const START_TIMEOUT_S: f64 = 10.0;
 
@@ -50,3 +52,18 @@
     simulation.advance(START_TIMEOUT_S);
     assert!(simulation.has_started("j-3"));
 }
+
+/// Guards against a hold without end: an idle job of a team without a guarantee needs a whole machine.
+/// The half that is free was held for it, and a job within its team's guarantee waited beside it.
+#[test]
+fn job_within_its_guarantee_waits_a_bounded_time_beside_a_held_machine() {
+    let mut simulation = cluster_with_half_a_machine();
+    let mut whole = job_desc("j-2", 1);
+    (whole.cores, whole.team) = (16.0, "guests".into());
+    (whole.priority, whole.deadline_s) = (Priority::Idle, None);
+    simulation.submit(&whole);
+    simulation.advance(2.0);
+    simulation.submit(&urgent_job());
+    simulation.advance(MAX_WAIT_S);
+    assert!(simulation.has_started("j-3"));
+}
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -66,7 +66,8 @@
         free
     }
 
-    fn is_open_to(&self, id: &JobId) -> bool {
+    /// Whether no capacity of the machine is held for another job.
+    pub(super) fn is_open_to(&self, id: &JobId) -> bool {
         self.held_for.is_none_or(|held_for| held_for == id)
     }
 
@@ -147,6 +148,15 @@
     pub(super) max_capacity: Resources,
 }
 
+/// The result of a search for machines for a job.
+pub(super) struct MachineSearch {
+    /// Indexes of the machines on which a task of the job fits now, in ascending order of score: the
+    /// best one is the last.
+    pub(super) indexes: Vec<usize>,
+    /// Whether a task fits on a machine that is held for another job.
+    pub(super) is_blocked_by_hold: bool,
+}
+
 /// Machines that a pass may use.
 pub struct CandidateMachines<'a> {
     pub(super) machines: Vec<CandidateMachine<'a>>,
@@ -242,20 +252,22 @@
         jobs
     }
 
-    /// Returns the indexes of the machines on which a task of the job fits now, in ascending
-    /// order of score: the best one is the last.
-    pub(super) fn candidates(
+    /// Searches the machines on which a task of the job fits now. `may_use_held` tells whether the job
+    /// may use capacity that is held for another one.
+    pub(super) fn search(
         &mut self,
         snapshot: &SchedulingSnapshot<'_>,
         id: &JobId,
         job: &Job,
-    ) -> Vec<usize> {
+        may_use_held: impl Fn(&JobId) -> bool,
+    ) -> MachineSearch {
         let desc = &*job.desc;
         let (request, image) = (desc.request(), desc.image_key());
         let yielded = snapshot
             .constrained
             .yielded_machine_types(job, snapshot.wall_clock);
         let mut scored: Vec<(f64, usize)> = Vec::new();
+        let mut is_blocked_by_hold = false;
         for kind in &self.kinds {
             if !request.fits_in(&kind.max_free)
                 || !desc.allows(kind.machine_type, kind.zone, kind.spot)
@@ -268,16 +280,23 @@
             for &machine_index in &kind.machine_indexes {
                 let candidate = &self.machines[machine_index];
                 // Skips machines on which the job failed recently: it tries others first.
-                if candidate.is_open_to(id)
-                    && request.fits_in(&candidate.free)
+                let has_room = request.fits_in(&candidate.free)
                     && request.fits_in(&candidate.free_for(id, snapshot.now))
-                    && !candidate.machine.is_avoided_by(id, snapshot.now)
-                {
+                    && !candidate.machine.is_avoided_by(id, snapshot.now);
+                if !has_room {
+                    continue;
+                }
+                if candidate.is_open_to(id) || candidate.held_for.is_some_and(&may_use_held) {
                     scored.push((candidate.score(desc, image), machine_index));
+                } else {
+                    is_blocked_by_hold = true;
                 }
             }
         }
-        indexes_by_score(scored)
+        MachineSearch {
+            indexes: indexes_by_score(scored),
+            is_blocked_by_hold,
+        }
     }
 
     /// Holds machines for a job that fits on none, or small tasks would always take the capacity
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod capacity_requests;
 mod constrained;
 mod eligibility;
+mod hold_rule;
 mod pass;
 mod preemption;
 mod queue;
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -8,6 +8,7 @@
 //! made are passed over in the next pass, so that all other jobs have their turn within a few passes.
 
 use super::candidates::SelectorRoom;
+use super::hold_rule::HoldRule;
 use super::zone_constraints::{TasksByZone, is_zone_allowed, tasks_by_zone};
 use super::{CandidateMachines, QueuedJob, Queues, SchedulingSnapshot, is_launchable};
 use crate::fairness::{Resources, UsageByTeam};
@@ -106,6 +107,8 @@
 struct JobProgress<'a> {
     /// Indexes of the machines on which its tasks may still fit, the best one last.
     candidates: Vec<usize>,
+    /// Whether its tasks fit on a machine that is held for another job.
+    is_blocked_by_hold: bool,
     tasks_by_zone: TasksByZone<'a>,
     /// Number of its tasks that this pass has placed.
     placed: u32,
@@ -278,10 +281,15 @@
     /// Returns the index of the best machine for the next task of a job; `None`: it fits on none.
     fn best_machine(&mut self, id: &'a JobId, job: &'a Job) -> Option<usize> {
         let (snapshot, machines) = (self.snapshot, &mut self.machines);
-        let progress = self.progress.entry(id).or_insert_with(|| JobProgress {
-            tasks_by_zone: tasks_by_zone(job, snapshot.machines),
-            candidates: machines.candidates(snapshot, id, job),
-            placed: 0,
+        let holds = HoldRule::of(snapshot, &self.usage, job);
+        let progress = self.progress.entry(id).or_insert_with(|| {
+            let search = machines.search(snapshot, id, job, |other| holds.may_use_held(other));
+            JobProgress {
+                tasks_by_zone: tasks_by_zone(job, snapshot.machines),
+                candidates: search.indexes,
+                is_blocked_by_hold: search.is_blocked_by_hold,
+                placed: 0,
+            }
         });
         let request = job.desc.request();
         // Tasks placed since the candidates were computed may have used their capacity.
@@ -290,6 +298,10 @@
             let zone = &candidate.machine.spec.zone;
             if request.fits_in(&candidate.free_for(id, snapshot.now))
                 && is_zone_allowed(&job.desc, &progress.tasks_by_zone, zone)
+                && (candidate.is_open_to(id)
+                    || candidate
+                        .held_for
+                        .is_some_and(|other| holds.may_use_held(other)))
             {
                 return Some(machine_index);
             }
@@ -311,9 +323,11 @@
         if !yielded.is_empty() {
             return;
         }
-        // A job that avoids machines on which it failed says nothing about other jobs with the
-        // same requirements.
-        if job.failed_on().is_empty() && !has_zone_constraint(&job.desc) {
+        // A job that avoids machines on which it failed, or that a hold for another job blocks, says
+        // nothing about other jobs with the same requirements.
+        let progress = self.progress.get(id);
+        let is_blocked_by_hold = progress.is_some_and(|progress| progress.is_blocked_by_hold);
+        if job.failed_on().is_empty() && !has_zone_constraint(&job.desc) && !is_blocked_by_hold {
             let known = &mut self.unplaceable[queued.selector];
             known.retain(|request| !queued.request.fits_in(request));
             known.push(queued.request);
@@ -325,8 +339,13 @@
                 .get(id)
                 .map(|progress| &progress.tasks_by_zone);
             let no_tasks = TasksByZone::new();
-            let by_zone = by_zone.unwrap_or(&no_tasks);
-            let is_held = self.machines.hold(self.snapshot, id, job, waiting, by_zone);
+            let is_held = self.machines.hold(
+                self.snapshot,
+                id,
+                job,
+                waiting,
+                by_zone.unwrap_or(&no_tasks),
+            );
             self.held = is_held.then_some(id);
         }
     }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -6,12 +6,12 @@
 
 mod victims;
 
+use super::hold_rule::{fits_guarantee, is_guaranteed};
 use super::{CandidateMachines, SchedulingSnapshot, accepts_tasks, is_launchable};
 use crate::clock::Micros;
 use crate::fairness::{Resources, UsageByTeam};
 use crate::ids::{JobId, MachineId};
 use crate::jobs::{Job, Priority};
-use crate::settings::Team;
 use crate::workers::{AttemptKey, AttemptPhase, Machine, Reservation};
 use std::collections::{BTreeMap, BTreeSet};
 use victims::{MachinePlan, VictimSearch, starts_immediately};
@@ -122,7 +122,7 @@
     let lowest = lowest_running_priority(snapshot);
     jobs.retain(|(_, job)| {
         lowest.is_some_and(|lowest| lowest < job.effective_priority())
-            || is_guaranteed(snapshot, job)
+            || is_guaranteed(snapshot, snapshot.usage, job)
     });
     if jobs.is_empty() {
         return jobs;
@@ -177,23 +177,6 @@
     running.map(Job::effective_priority).min()
 }
 
-/// Whether one more task of the job is within its team's guarantee.
-fn is_guaranteed(snapshot: &SchedulingSnapshot<'_>, job: &Job) -> bool {
-    let team = &snapshot.settings.platform.teams[job.team];
-    let used = snapshot.usage.of(job.team).used;
-    fits_guarantee(team, used, job.desc.request())
-}
-
-/// Whether a team that uses `used` stays within its guarantee with one more request. Memory is not
-/// guaranteed and has no bound here.
-fn fits_guarantee(team: &Team, used: Resources, request: Resources) -> bool {
-    let mut after = used;
-    after += request;
-    let guarantee = team.guarantee();
-    let bound = Resources::new(guarantee.cores, guarantee.gpus, f64::INFINITY);
-    after.fits_in(&bound)
-}
-
 /// Returns the capacity of a machine that is free for preempting jobs. Attempts that are being
 /// stopped count as free: they were stopped for a job, and the capacity reserved for that job is
 /// subtracted.
