A job with a deadline yields machine types for 45 s at most without a start

Seen: an idle job that only the large machine type fits needs more than a machine has free.

Cause: a job with more than 20 s of slack yields the types of a more constrained waiting job as long as it has slack, also where that job has no room.

Change: a job with a deadline or a start latency objective yields for 45 s at most since its last start.

Tests: job_with_a_distant_deadline_yields_for_a_bounded_time failed before and passes.

--- a/src/controller/tests/held_capacity.rs
+++ b/src/controller/tests/held_capacity.rs
@@ -67,3 +67,21 @@
     simulation.advance(MAX_WAIT_S);
     assert!(simulation.has_started("j-3"));
 }
+
+/// Guards against a yield without end: an idle job that only the large machine type fits needs more
+/// than a machine has free. A job with a distant deadline stayed off that machine.
+#[test]
+fn job_with_a_distant_deadline_yields_for_a_bounded_time() {
+    let mut simulation = cluster_with_half_a_machine();
+    let mut large = job_desc("j-2", 1);
+    large.cores = 12.0;
+    (large.priority, large.deadline_s) = (Priority::Idle, None);
+    simulation.submit(&large);
+    simulation.advance(2.0);
+    let mut urgent = urgent_job();
+    urgent.deadline_s = Some(300.0);
+    urgent.estimated_run_time_s = 9.0;
+    simulation.submit(&urgent);
+    simulation.advance(MAX_WAIT_S);
+    assert!(simulation.has_started("j-3"));
+}
--- a/src/placement/constrained.rs
+++ b/src/placement/constrained.rs
@@ -27,6 +27,9 @@
 
 /// Fraction of its start latency objective for which a job yields machine types.
 const MAX_WAIT_FRACTION: f64 = 0.4;
+/// Longest time without a start for which a job with a deadline or a start latency objective yields
+/// machine types: the constrained job may need more room than becomes free there.
+const MAX_YIELD_TIME: Micros = Micros::from_millis(45_000);
 /// Slack in microseconds above which a job yields machine types if it has a deadline and no start
 /// latency objective.
 const MIN_SLACK_US: i64 = 20_000_000;
@@ -125,11 +128,13 @@
     if job.has_inherited_deadline() {
         return false;
     }
+    let waiting_since = job.eligible_since().max(job.last_start_at);
+    let may_yield = wall_clock.since(waiting_since) < MAX_YIELD_TIME;
     match (job.start_latency_objective, job.desc.deadline_s) {
         (Some(within), _) => {
-            wall_clock.since(job.eligible_since()) < within.part(MAX_WAIT_FRACTION)
+            may_yield && wall_clock.since(job.eligible_since()) < within.part(MAX_WAIT_FRACTION)
         }
-        (None, Some(_)) => job.slack_us(wall_clock) > MIN_SLACK_US,
+        (None, Some(_)) => may_yield && job.slack_us(wall_clock) > MIN_SLACK_US,
         // Prevents small background tasks from spreading over machines that constrained jobs
         // need as a whole. As long as tasks of the job start elsewhere, the others can wait.
         (None, None) => wall_clock.since(job.last_start_at) < MAX_TIME_SINCE_START,
