A starved job keeps its part of the limit also where smaller machines are refilled

A refill of a machine that is too small for a starved job skipped that job, so that others of its team took the part of the limit that it waits for.

Cause: whether a machine suits the job was asked of the machines of the pass, which is one in a refill.

Change: the queue entry says whether any machine of the partition suits a starved job.

Why it works: the same answer holds in a pass and in each refill until the next pass.

Tests: starved_job_keeps_its_part_of_the_limit_also_while_smaller_machines_are_refilled failed before and passes.

--- a/src/controller/tests/left_waiting.rs
+++ b/src/controller/tests/left_waiting.rs
@@ -146,6 +146,42 @@
     assert!(simulation.has_started("j-1"));
 }
 
+/// Guards against a starved job that is overtaken where it does not fit itself: while it waits for its
+/// team's limit, other jobs of the team must not start on machines that are too small for it either.
+#[test]
+fn starved_job_keeps_its_part_of_the_limit_also_while_smaller_machines_are_refilled() {
+    let mut simulation = Simulation::builder(1, 2).build();
+    simulation.workers[1].machine_type = "small";
+    simulation.idle_release_after = secs(1_000.0);
+    simulation.start_all_controllers();
+    simulation.advance(6.0);
+    let small_machine_job = |id: &str| {
+        let mut job = job_desc(id, 1);
+        job.machine_types = Some(vec!["small".into()]);
+        job.deadline_s = None;
+        job
+    };
+    for id in ["j-1", "j-2"] {
+        simulation.submit(&small_machine_job(id));
+    }
+    simulation.advance(3.0);
+    assert_eq!(simulation.running_count(), 2);
+    // The job needs the whole limit of its team, and only the large machine suits it.
+    let mut whole_limit = job_desc("j-90001", 1);
+    whole_limit.cores = 16.0;
+    simulation.submit(&whole_limit);
+    simulation.advance(125.0);
+    simulation.submit(&small_machine_job("j-3"));
+    simulation.advance(1.0);
+    simulation.exit_all_of("j-1/", ExitCause::Done);
+    simulation.advance(6.0);
+    assert!(!simulation.has_started("j-3"));
+    simulation.cancel("j-3");
+    simulation.exit_all_of("j-2/", ExitCause::Done);
+    simulation.advance(START_TIMEOUT_S);
+    assert!(simulation.has_started("j-90001"));
+}
+
 /// Guards against preemption that is planned for nobody: jobs that no machine suits used up the number
 /// of jobs that may preempt in one run.
 #[test]
--- a/src/controller/tests/starvation.rs
+++ b/src/controller/tests/starvation.rs
@@ -26,6 +26,31 @@
     assert!(simulation.has_started("j-90001"));
 }
 
+/// A starved job waits for the whole limit of its team, and only the large machine suits it. When the
+/// limit gets free with the end of tasks on a smaller machine, that machine must not be refilled with
+/// other jobs of the team before the starved job starts.
+#[test]
+fn starving_job_is_not_overtaken_on_a_smaller_machine_when_its_limit_gets_free() {
+    let mut simulation = Simulation::builder(1, 2).build();
+    simulation.workers[1].machine_type = "small";
+    simulation.idle_release_after = secs(1_000.0);
+    simulation.task_duration = Some(secs(10.0));
+    simulation.start_all_controllers();
+    simulation.advance(6.0);
+    let mut whole_limit = job_desc("j-90001", 1);
+    whole_limit.cores = 16.0;
+    simulation.submit(&whole_limit);
+    for number in 0..170 {
+        let mut stream = job_desc(&format!("j-{number}"), 1);
+        stream.priority = Priority::Production;
+        stream.machine_types = Some(vec!["small".into()]);
+        stream.deadline_s = None;
+        simulation.submit(&stream);
+        simulation.advance(1.0);
+    }
+    assert!(simulation.has_started("j-90001"));
+}
+
 /// Twice as many tasks arrive as the machine can run, for almost four minutes, most of them with a
 /// higher priority than the first five jobs. Each of these five jobs must start nevertheless.
 #[test]
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -223,13 +223,13 @@
     /// Whether a job must be examined further: a machine may have room for it, capacity may be held
     /// for it, or it keeps other jobs of its team from starting.
     fn needs_examination(&self, team: usize, queued: &QueuedJob) -> bool {
+        if !self.is_within_limit(team, &queued.request) {
+            return queued.reserves_limit;
+        }
         let room = &self.rooms[queued.selector];
         if !queued.request.fits_in(&room.max_capacity) || self.passed_over.contains(&queued.id) {
             return false;
         }
-        if !self.is_within_limit(team, &queued.request) {
-            return queued.is_starved;
-        }
         let may_be_held_for = self.machines.is_whole_partition && self.held.is_none();
         if !queued.request.fits_in(&room.max_free) && !may_be_held_for {
             return false;
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -1,7 +1,7 @@
 //! Queues of waiting jobs, one for each team. A queue is sorted with the most urgent job last,
 //! where a pass takes jobs from.
 
-use super::{SchedulingSnapshot, is_launchable, is_starved};
+use super::{CandidateMachines, SchedulingSnapshot, is_launchable, is_starved};
 use crate::fairness::Resources;
 use crate::ids::JobId;
 use crate::jobs::{Job, JobDesc, allows_machine_type};
@@ -47,8 +47,9 @@
     pub(super) request: Resources,
     /// Index in [`Queues::selectors`] of the machines that it allows.
     pub(super) selector: usize,
-    /// Whether the job is starved (see [`is_starved`]).
-    pub(super) is_starved: bool,
+    /// Whether the job is starved (see [`is_starved`]) and a machine of the partition suits it. Other
+    /// jobs of its team must not take the part of the team's limit that it waits for.
+    pub(super) reserves_limit: bool,
 }
 
 /// The queues of all teams.
@@ -78,9 +79,10 @@
         }
     }
     let mut selectors = SelectorIndex::default();
+    let machines = CandidateMachines::of_partition(snapshot);
     let by_team = jobs_by_team
         .into_iter()
-        .map(|(team, jobs)| (team, team_queue(snapshot, jobs, &mut selectors)))
+        .map(|(team, jobs)| (team, team_queue(snapshot, &machines, jobs, &mut selectors)))
         .collect();
     Queues {
         by_team,
@@ -109,6 +111,7 @@
 
 fn team_queue(
     snapshot: &SchedulingSnapshot<'_>,
+    machines: &CandidateMachines<'_>,
     mut jobs: Vec<(&JobId, &Job)>,
     selectors: &mut SelectorIndex,
 ) -> Vec<QueuedJob> {
@@ -130,7 +133,7 @@
         id: id.clone(),
         request: job.desc.request(),
         selector: selectors.index_of(&job.desc),
-        is_starved: is_starved(job, snapshot.wall_clock),
+        reserves_limit: is_starved(job, snapshot.wall_clock) && machines.suit(&job.desc),
     };
     jobs.into_iter().map(&mut queued).collect()
 }
