--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -6,6 +6,7 @@
 use crate::ids::JobId;
 use crate::jobs::{Job, JobDesc, allows_machine_type};
 use crate::zones::ZoneEvacuation;
+use std::cell::LazyCell;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
@@ -79,10 +80,12 @@
         }
     }
     let mut selectors = SelectorIndex::default();
-    let machines = CandidateMachines::of_partition(snapshot);
+    // Needed only if a job is starved.
+    let machines = LazyCell::new(|| CandidateMachines::of_partition(snapshot));
+    let is_suited = |desc: &JobDesc| machines.suit(desc);
     let by_team = jobs_by_team
         .into_iter()
-        .map(|(team, jobs)| (team, team_queue(snapshot, &machines, jobs, &mut selectors)))
+        .map(|(team, jobs)| (team, team_queue(snapshot, &is_suited, jobs, &mut selectors)))
         .collect();
     Queues {
         by_team,
@@ -111,7 +114,7 @@
 
 fn team_queue(
     snapshot: &SchedulingSnapshot<'_>,
-    machines: &CandidateMachines<'_>,
+    is_suited: &impl Fn(&JobDesc) -> bool,
     mut jobs: Vec<(&JobId, &Job)>,
     selectors: &mut SelectorIndex,
 ) -> Vec<QueuedJob> {
@@ -133,7 +136,7 @@
         id: id.clone(),
         request: job.desc.request(),
         selector: selectors.index_of(&job.desc),
-        reserves_limit: is_starved(job, snapshot.wall_clock) && machines.suit(&job.desc),
+        reserves_limit: is_starved(job, snapshot.wall_clock) && is_suited(&job.desc),
     };
     jobs.into_iter().map(&mut queued).collect()
 }
